--- a/cloverthread/adapter.py
+++ b/aspensaddle/adapter.py
@@ -9,9 +9,9 @@
 
 import orjson
 
-from cloverthread.balance import Balancer
-from cloverthread.interface import Action, Started
-from cloverthread.wire import (
+from aspensaddle.balance import Balancer
+from aspensaddle.interface import Action, Started
+from aspensaddle.wire import (
     EVENTS, Lists, Message, WireError, array, integer, number, obj, parse_entries, parse_settings, render,
     text,
 )
@@ -93,7 +93,7 @@
         try:
             answer = host.reply(line)
         except WireError as e:
-            print(f"cloverthread: batch {count}: {e}", file=sys.stderr)
+            print(f"aspensaddle: batch {count}: {e}", file=sys.stderr)
             return 1
         sink.write(answer)
         sink.flush()
--- a/cloverthread/balance.py
+++ b/aspensaddle/balance.py
@@ -1,4 +1,4 @@
-"""Every decision of the balancer. What goes in and comes out is in `cloverthread/interface.py`.
+"""Every decision of the balancer. What goes in and comes out is in `aspensaddle/interface.py`.
 
 The ordinary path is Ohta and Andou's: count sends and accepts of each server over a sliding window, take part
 of its ratio off the server with the worst R = (S - A) / A each tick, and place by a smooth weighted rotation.
@@ -14,7 +14,7 @@
 from random import Random
 from typing import TypeAlias
 
-import cloverthread.interface as api
+import aspensaddle.interface as api
 
 SLOTS, TICK = 10, 1.0  # m and T: trouble lasts seconds, and ten of them let sparse traffic leave a trace
 DELTA = 0.1  # the part that the worst server loses at a time; the paper's figure
--- a/cloverthread/interface.py
+++ b/aspensaddle/interface.py
@@ -1,7 +1,7 @@
 """The public interface: what a `Balancer` is built from, what it is told and what it answers.
 
 Times are seconds. Loads are work a second (seconds of a standard core per second). The module that
-decides is `cloverthread/balance.py`; how these types travel on a wire is `cloverthread/wire.py`.
+decides is `aspensaddle/balance.py`; how these types travel on a wire is `aspensaddle/wire.py`.
 """
 
 from __future__ import annotations
--- a/cloverthread/wire.py
+++ b/aspensaddle/wire.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, TypeAlias
 
-from cloverthread.interface import (
+from aspensaddle.interface import (
     Action, Adopted, Cancel, ClientGone, CloseIdle, DelayNote, Ended, Established, Event, Fail, FetchList,
     Group, Limits, ListScope, LoadNote, Move, Outcome, PeerMessage, Prices, Probe, ProbeResult, Refuse,
     Repeat, Report, Request, RequestClass, Rules, Send, ServerEntry, ServersChanged, ServerState, SetTimer,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from cloverthread import Balancer
-from cloverthread.interface import (
+from aspensaddle import Balancer
+from aspensaddle.interface import (
     Action, Ended, Established, Limits, ListScope, Outcome, Repeat, Request, RequestClass, Rules, Send,
     ServerEntry, ServersChanged, ServerState, Settings, Started, TimerFired,
 )
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -44,7 +44,7 @@
 def run(*batches, hash_seed="0", raw=None):
     data = raw if raw is not None else "".join(json.dumps(b) + "\n" for b in batches).encode()
     env = os.environ | {"PYTHONHASHSEED": hash_seed}
-    return subprocess.run([sys.executable, "-m", "cloverthread.adapter"], input=data, cwd=ROOT, env=env,
+    return subprocess.run([sys.executable, "-m", "aspensaddle.adapter"], input=data, cwd=ROOT, env=env,
                           capture_output=True, timeout=60)
 
 
@@ -131,7 +131,7 @@
     assert done.returncode == 1
     assert done.stdout == b'{"balancers":[]}\n'
     (line,) = done.stderr.decode().splitlines()
-    assert line.startswith("cloverthread: batch 2: ")
+    assert line.startswith("aspensaddle: batch 2: ")
 
 
 def test_bad_input_says_where():
@@ -141,7 +141,7 @@
 
 def test_a_fault_of_the_module_is_told():
     """An exception inside the module must not be swallowed."""
-    code = "import sys; from cloverthread import adapter, balance; " \
+    code = "import sys; from aspensaddle import adapter, balance; " \
         "balance.Balancer._tick = lambda *a: 1 / 0; sys.exit(adapter.main())"
     data = json.dumps(batch(1.0, launch(), {"kind": "WAKEUP", "label": "tick"})).encode()
     done = subprocess.run([sys.executable, "-c", code], input=data, cwd=ROOT, capture_output=True, timeout=60)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 from helpers import CLASS, SETTINGS, Driver, entry
 from hypothesis import given, strategies as st
 
-from cloverthread.interface import (
+from aspensaddle.interface import (
     Ended, Established, Fail, Group, Limits, ListScope, Outcome, Refuse, Repeat, Send, ServersChanged,
     ServerState, Settings, TimerFired,
 )
