--- /dev/null
+++ b/aspensaddle/__main__.py
@@ -0,0 +1,117 @@
+"""The real balancer: reads its configuration, wires the parts up and runs until it is told to stop."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+
+import trio
+
+from aspensaddle.driver import Driver
+from aspensaddle.net.clients import Clients, listen
+from aspensaddle.net.config import Config, ConfigError, Fleet, load_config
+from aspensaddle.net.counters import Counters
+from aspensaddle.net.discovery import Discovery
+from aspensaddle.net.log import Log
+from aspensaddle.net.servers import Servers
+
+END_BEFORE = 0.4  # seconds before the platform would kill the process
+KILLED_AFTER = 0.7  # and the longest deadline
+
+
+class Daemon:
+    """The services of one process for its balancer."""
+
+    def __init__(self, config: Config, log: Log) -> None:
+        self.config, self.log, self.counters = config, log, Counters()
+        self.fleet = Fleet(config.zones)
+        self.driver = Driver(config.settings, config.seed, self)
+        self.servers = Servers(self.driver, self.fleet, self.counters)
+        self.discovery = Discovery(config.discovery, self.driver, self.fleet, self.counters, log)
+        self.clients = Clients(config, self.driver, self.servers, self.fleet, self.counters, log)
+        self._timer = trio.Event()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        listener = listen(self.config.listen)
+        async with trio.open_nursery() as self._nursery:
+            self.discovery.rev = self.config.known.rev
+            self.driver.start(self.fleet.take(self.config.known))
+            self._nursery.start_soon(self._timers)
+            self._nursery.start_soon(self.clients.sweep)
+            self._nursery.start_soon(self.clients.serve, listener, self._nursery)
+            self.log.event("started", listen=self.config.listen, rev=self.config.known.rev,
+                           runners=len(self.config.known.targets))
+            await self._signals()
+            self._nursery.cancel_scope.cancel()
+
+    async def _signals(self) -> None:
+        """Print the counters when asked; return when the process is to end and has let all clients go."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+            async for number in signals:
+                if number == signal.SIGUSR1:
+                    self.report()
+                    continue
+                self.log.event("stopping", standing=len(self.clients.cases))
+                longest = max(c.deadline for c in self.config.settings.classes)
+                with trio.move_on_after(min(3.0, longest) + KILLED_AFTER - END_BEFORE):
+                    await self.clients.drain()
+                return
+
+    def report(self) -> None:
+        self.log.event("counters", standing=len(self.clients.cases), open=self.clients.open,
+                       log_dropped=self.log.dropped, counts=self.counters.report())
+
+    # ------------------------------------------------------------ what the driver asks for
+
+    def watch(self, on: bool) -> None:
+        assert self._nursery is not None
+        if on:
+            self._nursery.start_soon(self.discovery.watch)
+        else:
+            self.discovery.stop_watch()
+
+    def fetch(self) -> None:
+        assert self._nursery is not None
+        self._nursery.start_soon(self.discovery.fetch)
+
+    def probe(self, server: int) -> None:
+        assert self._nursery is not None
+        self._nursery.start_soon(self.servers.probe, server)
+
+    def timer_set(self) -> None:
+        self._timer.set()
+
+    async def _timers(self) -> None:
+        while True:
+            self._timer = trio.Event()
+            wait = self.driver.next_timer()
+            with trio.move_on_after(float("inf") if wait is None else wait):
+                await self._timer.wait()
+            self.driver.run_timers()
+
+
+def main() -> int:
+    try:
+        config = load_config()
+    except ConfigError as e:
+        print(f"aspensaddle: {e}", file=sys.stderr)
+        return 2
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 50)  # few cycles arise; frequent passes only cost CPU
+    log = Log(config.name)
+    daemon = Daemon(config, log)
+    try:
+        trio.run(daemon.run)
+        return 0
+    except OSError as e:
+        print(f"aspensaddle: listen {config.listen[0]}:{config.listen[1]}: {e.strerror}", file=sys.stderr)
+        return 2
+    finally:
+        daemon.report()
+        log.close()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/aspensaddle/adapter.py
+++ b/aspensaddle/adapter.py
@@ -10,11 +10,9 @@
 import orjson
 
 from aspensaddle.balance import Balancer
+from aspensaddle.decode import DecodeError, Message, array, integer, number, obj, parse_settings, text
 from aspensaddle.interface import Action, Started
-from aspensaddle.wire import (
-    EVENTS, Lists, Message, WireError, array, integer, number, obj, parse_entries, parse_settings, render,
-    text,
-)
+from aspensaddle.wire import EVENTS, Lists, parse_entries, render
 
 
 class Host:
@@ -25,30 +23,30 @@
         self.lists: Lists = {}
 
     def reply(self, line: bytes) -> bytes:
-        """Answer one batch. Raises `WireError` where the batch is not what the wire says."""
+        """Answer one batch. Raises `DecodeError` where the batch is not what the wire says."""
         try:
             batch = orjson.loads(line)
         except orjson.JSONDecodeError as e:
-            raise WireError(f"not JSON: {e}") from None
+            raise DecodeError(f"not JSON: {e}") from None
         if type(batch) is not dict:
-            raise WireError("a batch must be an object")
+            raise DecodeError("a batch must be an object")
         now = number(batch, "t")
         out = []
         for i, group in enumerate(array(batch, "balancers")):
             where = f"balancers[{i}]"
             try:
                 if type(group) is not dict:
-                    raise WireError("must be an object")
+                    raise DecodeError("must be an object")
                 instance = integer(group, "balancer")
                 events = array(group, "in")
-            except WireError as e:
-                raise WireError(f"{where}: {e}") from None
+            except DecodeError as e:
+                raise DecodeError(f"{where}: {e}") from None
             output: list[Message] = []
             for k, message in enumerate(events):
                 try:
                     actions = self._handle(now, instance, message)
-                except WireError as e:
-                    raise WireError(f"{where}.in[{k}]: {e}") from None
+                except DecodeError as e:
+                    raise DecodeError(f"{where}.in[{k}]: {e}") from None
                 except Exception as e:  # a fault of the module is told, never swallowed
                     traceback.print_exc()
                     output.append({"kind": "INTERNAL_ERROR", "reason-text": f"{type(e).__name__}: {e}"})
@@ -61,13 +59,13 @@
 
     def _handle(self, now: float, instance: int, message: Message) -> list[Action]:
         if type(message) is not dict:
-            raise WireError("an event must be an object")
+            raise DecodeError("an event must be an object")
         kind = text(message, "kind")
         parse = EVENTS.get(kind)
         if parse is not None:
             balancer = self.balancers.get(instance)
             if balancer is None:
-                raise WireError(f"{kind} for balancer {instance}, which was not launched")
+                raise DecodeError(f"{kind} for balancer {instance}, which was not launched")
             event = parse(message, self.lists)
             return [] if event is None else balancer.handle(now, event)
         if kind == "PAGE":
@@ -79,11 +77,11 @@
             try:
                 settings = parse_settings(options)
             except ValueError as e:
-                raise WireError(f"options: {e}") from None
+                raise DecodeError(f"options: {e}") from None
             balancer = self.balancers[instance] = Balancer(settings, seed)
             return balancer.handle(now, Started())
         else:
-            raise WireError(f"unknown kind {kind!r:.60}")
+            raise DecodeError(f"unknown kind {kind!r:.60}")
         return []
 
 
@@ -92,7 +90,7 @@
     for count, line in enumerate(source, 1):
         try:
             answer = host.reply(line)
-        except WireError as e:
+        except DecodeError as e:
             print(f"aspensaddle: batch {count}: {e}", file=sys.stderr)
             return 1
         sink.write(answer)
--- /dev/null
+++ b/aspensaddle/driver.py
@@ -0,0 +1,219 @@
+"""Drives one `Balancer`: owns it, its clock and its timers, and knows no wire.
+
+A front hands in what happens, by request id. What the balancer decides goes to the `Owner` of the request it
+concerns, or to the `Services` of the process. Calls come from one thread, and an owner or service that is
+told something only notes it down: it never calls back from within.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from statistics import median
+from typing import Protocol, TypeAlias
+
+import aspensaddle.interface as api
+from aspensaddle.balance import Balancer
+
+NOTE_EVERY = 1.0  # a slow server is told of once a second, as on the simulator's wire
+SLOW_PART = 1 / 3  # of the shortest message aim: where notes of slow messages begin
+DUE_SLIP = 0.001  # an end this close to its deadline is the deadline's own
+
+RequestAction: TypeAlias = api.Send | api.Refuse | api.Fail | api.Cancel | api.Move
+
+
+class Owner(Protocol):
+    """What holds a request in a front."""
+
+    def act(self, action: RequestAction) -> None: ...
+
+
+class Services(Protocol):
+    """What a process does for its balancer beside the requests."""
+
+    def watch(self, on: bool) -> None: ...
+    def fetch(self) -> None: ...
+    def probe(self, server: int) -> None: ...
+    def timer_set(self) -> None:
+        """A timer may now be due earlier than before."""
+
+
+def unix_clock() -> Callable[[], float]:
+    """Unix time that only goes forward at an even pace, whatever is done to the wall clock after the start.
+
+    Starts of servers are told in Unix time, so the balancer's clock is that and needs no conversion.
+    """
+    offset = time.time() - time.monotonic()
+    return lambda: time.monotonic() + offset
+
+
+@dataclass(slots=True)
+class _Case:
+    owner: Owner
+    deadline: float
+    attempt: int = -1
+    server: int = -1
+    sent_at: float = 0.0
+
+
+class _Delays:
+    """The waits for lines to come back from one server, since its last note."""
+
+    __slots__ = ("waits", "slow", "id", "noted_at")
+
+    def __init__(self) -> None:
+        self.waits: list[float] = []
+        self.slow = False
+        self.id = ""
+        self.noted_at = 0.0
+
+
+class Driver:
+    def __init__(self, settings: api.Settings, seed: int, services: Services,
+                 clock: Callable[[], float] | None = None) -> None:
+        self.settings, self.services = settings, services
+        self.balancer = Balancer(settings, seed)
+        self._clock = clock or unix_clock()
+        self._last = 0.0
+        self._timers: list[tuple[float, int, str]] = []
+        self._count = 0
+        self._cases: dict[str, _Case] = {}
+        self._ready: set[int] = set()
+        self._delays: dict[int, _Delays] = {}
+        self._slow = SLOW_PART * min(c.message_aim for c in settings.classes)
+
+    # ------------------------------------------------------------ time
+
+    def now(self) -> float:
+        self._last = max(self._last, self._clock())
+        return self._last
+
+    def next_timer(self) -> float | None:
+        """Seconds until a timer is due."""
+        return max(0.0, self._timers[0][0] - self.now()) if self._timers else None
+
+    def run_timers(self) -> None:
+        now = self.now()
+        while self._timers and self._timers[0][0] <= now:
+            self._feed(api.TimerFired(heappop(self._timers)[2]))
+
+    # ------------------------------------------------------------ the list
+
+    def start(self, entries: Iterable[api.ServerEntry]) -> None:
+        """Start with the list as last held, which may be old."""
+        self._feed(api.Started())
+        self.servers(api.ListScope.SAVED, tuple(entries))
+
+    def servers(self, scope: api.ListScope, entries: tuple[api.ServerEntry, ...] = ()) -> None:
+        if scope is not api.ListScope.FAILED:
+            if scope is not api.ListScope.CHANGES:
+                self._ready.clear()
+            for e in entries:
+                if e.state is api.ServerState.READY:
+                    self._ready.add(e.server)
+                else:
+                    self._ready.discard(e.server)
+        self._feed(api.ServersChanged(scope, entries))
+
+    def may_send(self, server: int) -> bool:
+        """Whether a send chosen some time ago may still begin. Guards against a drain told while the
+        connection came up: what has not begun by then goes to another server."""
+        return server in self._ready
+
+    # ------------------------------------------------------------ requests
+
+    def __contains__(self, id: str) -> bool:
+        return id in self._cases
+
+    def request(self, owner: Owner, request: api.Request) -> None:
+        """Place a request. Its id must not be in hand already."""
+        now = self.now()
+        self._cases[request.id] = _Case(owner, now + request.time_left)
+        self._feed(request, now)
+
+    def adopted(self, owner: Owner, request: api.Request, server: int) -> None:
+        """A connection that already flowed before this process began."""
+        self._cases[request.id] = _Case(owner, float("inf"), 0, server)
+        self._feed(api.Adopted(request, server))
+
+    def established(self, id: str) -> None:
+        if case := self._cases.get(id):
+            now = self.now()
+            self._feed(api.Established(id, case.attempt, case.server, now - case.sent_at), now)
+
+    def ended(self, id: str, outcome: api.Outcome, finished: bool = False) -> None:
+        """The attempt that is out, or the connection that it became, has ended."""
+        if case := self._cases.get(id):
+            now = self.now()
+            if now < case.deadline <= now + DUE_SLIP:
+                # Guards against a time-out that wakes a hair early and buys an attempt of no length.
+                now = self._last = case.deadline
+            if finished:
+                del self._cases[id]
+            self._feed(api.Ended(id, case.attempt, case.server, outcome, now - case.sent_at, finished), now)
+
+    def gone(self, id: str) -> None:
+        """Nobody waits for the request any more."""
+        if self._cases.pop(id, None):
+            self._feed(api.ClientGone(id))
+
+    def load(self, id: str, load: float) -> None:
+        if case := self._cases.get(id):
+            self._feed(api.LoadNote(id, case.server, load))
+
+    def probed(self, server: int, outcome: api.Outcome, latency: float) -> None:
+        self._feed(api.ProbeResult(server, outcome, latency))
+
+    def waited(self, id: str, wait: float) -> None:
+        """A line came back on a connection after this long, or has been out so long already."""
+        if not (case := self._cases.get(id)):
+            return
+        delays = self._delays.setdefault(case.server, _Delays())
+        delays.waits.append(wait)
+        now = self.now()
+        if now < delays.noted_at + NOTE_EVERY:
+            return
+        # The median guards against one line that was late for a reason of its own, or of this process.
+        delay = median(delays.waits)
+        delays.waits.clear()
+        delays.noted_at = now
+        slow, was = delay > self._slow, delays.slow
+        delays.slow = slow
+        if slow or was:
+            self._feed(api.DelayNote(id, case.server, delay), now)
+
+    # ------------------------------------------------------------ routing
+
+    def _feed(self, event: api.Event, now: float | None = None) -> None:
+        now = self.now() if now is None else now
+        for action in self.balancer.handle(now, event):
+            self._route(now, action)
+
+    def _route(self, now: float, action: api.Action) -> None:
+        match action:
+            case api.SetTimer():
+                self._count += 1
+                heappush(self._timers, (now + action.delay, self._count, action.token))
+                self.services.timer_set()
+            case api.WatchList():
+                self.services.watch(action.on)
+            case api.FetchList():
+                self.services.fetch()
+            case api.Probe():
+                self.services.probe(action.server)
+            case api.Tell() | api.CloseIdle():
+                pass  # balancers share nothing here, and no connection is kept idle
+            case _:
+                self._route_request(now, action)
+
+    def _route_request(self, now: float, action: RequestAction) -> None:
+        case = self._cases.get(action.id)
+        if case is None:
+            return
+        if isinstance(action, api.Send):
+            case.attempt, case.server, case.sent_at = case.attempt + 1, action.server, now
+        elif isinstance(action, api.Refuse | api.Fail):
+            del self._cases[action.id]
+        case.owner.act(action)
--- /dev/null
+++ b/aspensaddle/net/clients.py
@@ -0,0 +1,482 @@
+"""The clients: from OPEN to the end of a connection, one task each."""
+
+from __future__ import annotations
+
+import errno
+import math
+import re
+import socket
+import traceback
+from collections import deque
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass, replace
+
+import trio
+
+from aspensaddle.driver import Driver, RequestAction
+from aspensaddle.interface import Cancel, Fail, Move, Outcome, Refuse, Request, Send
+from aspensaddle.net.config import Address, Config, Fleet, stable_hash
+from aspensaddle.net.counters import Counters
+from aspensaddle.net.lines import LINE, Broken, Link, TooLong
+from aspensaddle.net.log import Log
+from aspensaddle.net.servers import Failed, Servers, Up, first_word
+
+ANSWER_MARGIN = 0.03  # of the client's wait: its line's way here, and the answer's way back
+FIRST_LINE_WITHIN = 10.0
+ADOPT_WITHIN = 38.0
+ADOPT_AGAIN = 0.5
+SILENT = 4.5  # a line's wait after which the runner is held to be cut off; 7 s is the rule
+SWEEP = 0.25
+MIRROR_WITHIN = 0.5  # for the client to end its side once its runner has ended
+RUNNER_END_WITHIN = 5.0  # and the other way round
+LINE_HELD = 0.9  # a line may be held for a second
+GENTLE = 0.7
+NEWCOMERS = 0.45  # after SIGTERM new connections still come for this long
+MOVES_OVER = 0.6  # then the standing ones are moved, spread over this
+RESERVE = 128  # descriptors beside pairs of connections: listener, discovery, log, refusals
+HEADROOM = 24
+BACKLOG = 512
+
+_D = re.compile(rb"(?<=[ ,])d=\d+(?=[,\s]|$)")
+
+
+class BadOpen(Exception):
+    """A first line that is none."""
+
+
+@dataclass(slots=True)
+class Opened:
+    """A client's first line."""
+
+    line: bytes
+    request: Request
+    at: str | None = None
+
+    def first_line(self, wait: float) -> bytes:
+        """The line for the runner: unchanged but for how long it will be waited for."""
+        return _D.sub(b"d=%d" % max(1, int(wait * 1000)), self.line, count=1)
+
+
+def parse_open(line: bytes, classes: dict[str, int], groups: bool) -> Opened:
+    try:
+        word, id, key, *rest = line.decode("ascii").rstrip("\r\n").split(" ")
+    except (ValueError, UnicodeDecodeError):
+        raise BadOpen("not OPEN ID KEY NAME=VALUE,..") from None
+    if word != "OPEN" or not id or not key or len(rest) != 1:
+        raise BadOpen("not OPEN ID KEY NAME=VALUE,..")
+    values: dict[str, str] = {}
+    for item in rest[0].split(","):
+        name, equals, value = item.partition("=")
+        if not name or not equals or name in values:
+            raise BadOpen(f"not NAME=VALUE: {item:.40}")
+        values[name] = value
+    cls = classes.get(values.get("c", ""))
+    if cls is None:
+        raise BadOpen("c names no class")
+    wait, hint = values.get("d", ""), values.get("h")
+    if wait and (not wait.isdigit() or len(wait) > 9):
+        raise BadOpen("d is not a number of milliseconds")
+    load = None
+    if hint is not None:
+        try:
+            load = float(hint)
+        except ValueError:
+            raise BadOpen("h is not a number") from None
+        if not 0 <= load < 1e9:
+            raise BadOpen("h is out of range")
+    request = Request(
+        id, cls, int(wait) / 1000 if wait else math.inf, key=stable_hash(key, 53), load=load,
+        group=stable_hash(values["g"], 53) if groups and "g" in values else None,
+        repeat=values.get("r") == "1", returning=values.get("again") == "1",
+    )
+    return Opened(line, request, values.get("at"))
+
+
+class Case:
+    """A request in hand: what the balancer decides of it."""
+
+    def __init__(self) -> None:
+        self._decision: Send | Refuse | Fail | None = None
+        self._decided = trio.Event()
+        self.attempt = trio.CancelScope()
+        self.relay: Relay | None = None
+        self.move_asked = False
+
+    def act(self, action: RequestAction) -> None:
+        match action:
+            case Move():
+                self.move()
+            case Cancel():
+                self.attempt.cancel()
+            case _:
+                self._decision = action
+                self._decided.set()
+
+    def move(self) -> None:
+        self.move_asked = True
+        if self.relay is not None:
+            self.relay.stop()
+
+    async def decision(self) -> Send | Refuse | Fail:
+        await self._decided.wait()
+        self._decided = trio.Event()
+        assert self._decision is not None
+        return self._decision
+
+
+class Relay:
+    """Passes lines between a client and its runner until one side ends or the balancer moves the client."""
+
+    def __init__(self, client: Link, runner: Link, id: str, driver: Driver, counters: Counters) -> None:
+        self.client, self.runner, self.id = client, runner, id
+        self.driver, self.counters = driver, counters
+        self.outcome = Outcome.CANCELLED  # until the runner says or does something else
+        self.whole = True  # the client has whole lines only
+        self.reset = False  # a side has gone with a reset, which is passed on
+        self.silent = False
+        self._stopped = False
+        self._word = b""  # the last from the runner
+        self._out: deque[float] = deque(maxlen=64)  # when the lines left that have not come back
+        self._scope = trio.CancelScope()
+
+    def stop(self) -> None:
+        self._stopped = True
+        self._scope.cancel()
+
+    def sweep(self, now: float) -> None:
+        """Guards against a runner that was cut off: it keeps its connections open and says nothing."""
+        if self._out and now - self._out[0] > SILENT and not self._stopped:
+            self.silent = True
+            self.stop()
+
+    def overdue(self, now: float) -> float:
+        return now - self._out[0] if self._out else 0.0
+
+    async def run(self, said: bytes) -> bool:
+        """True where the client is to be moved."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._guard, self._from_client)
+                nursery.start_soon(self._guard, self._from_runner, said)
+        return self._stopped
+
+    async def _guard(self, pump: Callable[..., Awaitable[None]], *args: bytes) -> None:
+        try:
+            await pump(*args)
+        except Broken:
+            self.reset = True
+            self._scope.cancel()
+        except TooLong:
+            self.outcome = Outcome.BROKEN
+            self._scope.cancel()
+
+    async def _from_client(self) -> None:
+        while True:
+            if lines := self.client.take_lines():
+                now = trio.current_time()
+                self.counters.add("lines from clients", count := lines.count(b"\n"))
+                for _ in range(count):
+                    self._out.append(now)
+                await self._to_runner(lines)
+            if not await self.client.fill():
+                break
+        if rest := self.client.take_rest():
+            await self._to_runner(rest)
+        with suppress(Broken):
+            await self.runner.end_sending()
+        await trio.sleep(RUNNER_END_WITHIN)
+        self._scope.cancel()
+
+    async def _to_runner(self, data: bytes) -> None:
+        # Guards against losing the last lines of a runner that has closed already: what it said can still be
+        # read, and reading finds the end.
+        with suppress(Broken):
+            await self.runner.send(data)
+
+    async def _from_runner(self, said: bytes) -> None:
+        lines, more = said, True
+        while more:
+            if lines:
+                self._note(lines)
+                await self._to_client(lines)
+            try:
+                more = await self.runner.fill()
+            except Broken:
+                self.reset, more = True, False
+            lines = self.runner.take_lines()
+        if rest := lines + self.runner.take_rest():
+            self._note(rest)
+            await self._to_client(rest)
+        if self._word == b"BYE":
+            self.outcome = Outcome.OK
+        elif self._word != b"MOVE" and not self.client.ended:
+            self.outcome = Outcome.BROKEN
+        if not self.reset:
+            await self.client.end_sending()
+            if not self.client.ended:
+                await trio.sleep(MIRROR_WITHIN)
+        self._scope.cancel()
+
+    async def _to_client(self, lines: bytes) -> None:
+        # Not to be cut off by a move halfway through a line; a client that does not read is.
+        self.whole = False
+        with trio.move_on_after(LINE_HELD, shield=True) as limit:
+            await self.client.send(lines)
+        if limit.cancelled_caught:
+            raise Broken
+        self.whole = True
+
+    def _note(self, lines: bytes) -> None:
+        now = trio.current_time()
+        for line in lines.splitlines():
+            word = self._word = first_word(line)
+            if word == b"LOAD":
+                try:
+                    load = float(line.split()[1]) / 1e6  # told in microseconds of work a second
+                except (IndexError, ValueError):
+                    self.counters.add("bad LOAD lines")
+                    continue
+                if 0 <= load < 1e6:
+                    self.driver.load(self.id, load)
+            elif self._out and word != b"UP":
+                self.driver.waited(self.id, now - self._out.popleft())
+        self.counters.add("lines from runners", lines.count(b"\n"))
+
+
+class Clients:
+    def __init__(self, config: Config, driver: Driver, servers: Servers, fleet: Fleet, counters: Counters,
+                 log: Log) -> None:
+        self.config, self.driver, self.servers, self.fleet = config, driver, servers, fleet
+        self.counters, self.log = counters, log
+        self.cases: dict[str, Case] = {}  # those that stand
+        self.open = 0  # connections of clients
+        self.closing = False
+        self.pairs = (config.limits.sockets - RESERVE) // 2
+        self.most_open = config.limits.sockets - HEADROOM
+
+    # ------------------------------------------------------------ accepting
+
+    async def serve(self, listener: trio.SocketListener, nursery: trio.Nursery) -> None:
+        while True:
+            # Guards against running out of descriptors: what stands takes two, a refusal takes one.
+            while self.open + len(self.cases) >= self.most_open:
+                await trio.sleep(0.01)
+            try:
+                stream = await listener.accept()
+            except OSError as e:
+                self.counters.add(f"accept {errno.errorcode.get(e.errno or 0, 'failed')}")
+                await trio.sleep(0.02)
+                continue
+            self.counters.add("connections")
+            nursery.start_soon(self._client, stream)
+
+    async def _client(self, stream: trio.SocketStream) -> None:
+        """One connection. A fault of this program ends it and no other."""
+        self.open += 1
+        link = Link(stream)
+        try:
+            await self._first(link)
+        except Broken:
+            pass
+        except TooLong:
+            self.counters.add("lines too long")
+            await self._say(link, b"ERR\r\n")
+        except Exception as e:
+            self.counters.add("faults")
+            self.log.event("fault", error=repr(e), trace=_trace(e))
+        finally:
+            link.close()
+            self.open -= 1
+
+    async def _first(self, link: Link) -> None:
+        while True:
+            line = None
+            with trio.move_on_after(FIRST_LINE_WITHIN):
+                line = await link.line()
+            if line is None:
+                return  # no whole line, no request
+            if line.strip() != b"PING":
+                break
+            self.counters.add("pings")
+            await link.send(b"PONG\r\n")
+        groups = self.config.settings.groups
+        try:
+            opened = parse_open(line, self.config.classes, groups)
+            if opened.request.id in self.driver:
+                raise BadOpen("the id is in use")
+        except BadOpen as e:
+            self.counters.add("bad first lines")
+            self.log.event("bad first line", why=str(e), line=line[:80].decode("latin-1"))
+            await self._say(link, b"ERR\r\n")
+            return
+        self.counters.add("requests")
+        if opened.at is not None:
+            await self._adopt(link, opened, opened.at)
+        else:
+            await self._request(link, opened)
+
+    # ------------------------------------------------------------ the life of a request
+
+    async def _request(self, client: Link, opened: Opened) -> None:
+        request = opened.request
+        wait = min(request.time_left, self.config.settings.classes[request.cls].deadline)
+        request = replace(request, time_left=wait - ANSWER_MARGIN)
+        if self.closing or len(self.cases) >= self.pairs:
+            # A process that ends, or has no descriptors left, can't keep a connection.
+            self.counters.add("refused while closing" if self.closing else "refused: full")
+            await self._say(client, b"BUSY %d\r\n" % (1000 * NEWCOMERS))
+            return
+        case = Case()
+        start = trio.current_time()
+        up: Up | None = None
+        answer = b""
+        attempts = 0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_until_gone, client, nursery.cancel_scope)
+            try:
+                self.driver.request(case, request)
+                while up is None and not answer:
+                    decision = await case.decision()
+                    if isinstance(decision, Refuse):
+                        answer = _busy(decision.retry_after)
+                    elif isinstance(decision, Fail):
+                        answer = b"ERR\r\n"
+                    else:
+                        attempts += 1
+                        tried = await self._attempt(case, opened, decision)
+                        if isinstance(tried, Up):
+                            up = tried
+                        elif tried.outcome is Outcome.OK:  # served to its end at once
+                            self.driver.ended(request.id, tried.outcome, finished=True)
+                            answer = tried.said
+                        else:
+                            self.driver.ended(request.id, tried.outcome)
+            finally:
+                if up is None and not answer:
+                    self.driver.gone(request.id)
+            nursery.cancel_scope.cancel()
+        self.log.event("request", id=request.id, cls=request.cls, attempts=attempts, left=request.time_left,
+                       ms=round(1000 * (trio.current_time() - start), 1),
+                       answer="UP" if up else answer.decode("latin-1").strip() or "gone")
+        if up is not None:
+            self.driver.established(request.id)
+            await self._stand(client, case, opened, up)
+        elif answer:
+            self.counters.add(f"answers {first_word(answer).decode('latin-1')}")
+            await self._say(client, answer)
+        else:
+            self.counters.add("clients gone")
+
+    async def _attempt(self, case: Case, opened: Opened, send: Send) -> Up | Failed:
+        tried: Up | Failed = Failed(Outcome.CANCELLED)
+        with trio.CancelScope() as case.attempt:
+            tried = await self.servers.attempt(send.server, opened.first_line, send.timeout)
+        return tried
+
+    async def _adopt(self, client: Link, opened: Opened, at: str) -> None:
+        """A connection that was open at that runner before the run: taken over, not placed."""
+        case, request = Case(), opened.request
+        tried: Up | Failed = Failed(Outcome.VOID)
+        stop = trio.current_time() + ADOPT_WITHIN
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_until_gone, client, nursery.cancel_scope)
+            while isinstance(tried, Failed) and trio.current_time() < stop:
+                if (server := self.fleet.find(at)) is not None:
+                    tried = await self.servers.attempt(
+                        server, opened.first_line, stop - trio.current_time(), adopt=True)
+                if isinstance(tried, Failed):
+                    await trio.sleep(ADOPT_AGAIN)
+            nursery.cancel_scope.cancel()
+        self.log.event("adopted", id=request.id, at=at, up=isinstance(tried, Up))
+        if isinstance(tried, Up) and server is not None:
+            self.driver.adopted(case, request, server)
+            await self._stand(client, case, opened, tried)
+        else:
+            await self._say(client, b"BUSY\r\n")
+
+    async def _stand(self, client: Link, case: Case, opened: Opened, up: Up) -> None:
+        """Pass all lines on until a side ends or the client is moved."""
+        id = opened.request.id
+        relay = case.relay = Relay(client, up.link, id, self.driver, self.counters)
+        self.cases[id] = case
+        self.counters.add("answers UP")
+        moved = True
+        try:
+            if case.move_asked:
+                relay.stop()
+            moved = await relay.run(up.said)
+        finally:
+            del self.cases[id]
+            outcome = Outcome.BROKEN if relay.silent else relay.outcome
+            self.driver.ended(id, outcome, finished=True)
+            if relay.reset and not moved:
+                up.link.reset()
+            else:
+                up.link.close()
+        self.counters.add("moved" if moved else f"ended {outcome.label}")
+        if moved and relay.whole:
+            self.log.event("moved", id=id, silent=relay.silent)
+            await client.send(b"MOVE\r\n")
+            await client.close_gently(GENTLE)
+        elif relay.reset:
+            client.reset()
+
+    async def _say(self, client: Link, answer: bytes) -> None:
+        """The final answer."""
+        await client.send(answer)
+        await client.close_gently(GENTLE)
+
+    # ------------------------------------------------------------ all of them
+
+    async def sweep(self) -> None:
+        """Look after lines that have not come back."""
+        while True:
+            await trio.sleep(SWEEP)
+            now = trio.current_time()
+            for id, case in list(self.cases.items()):
+                if case.relay is not None:
+                    case.relay.sweep(now)
+                    if (overdue := case.relay.overdue(now)) > SWEEP:
+                        self.driver.waited(id, overdue)
+
+    async def drain(self) -> None:
+        """Before the process ends: refuse who still comes, move all who stand, and wait for them to leave."""
+        self.closing = True
+        await trio.sleep(NEWCOMERS)
+        standing = list(self.cases.values())
+        for case in standing:
+            case.move()
+            await trio.sleep(MOVES_OVER / len(standing))
+        while self.open:
+            for case in list(self.cases.values()):  # those that were on their way
+                case.move()
+            await trio.sleep(0.02)
+
+
+async def _until_gone(client: Link, scope: trio.CancelScope) -> None:
+    """End a placement when the client goes away. What it sends before its UP is kept, up to a line."""
+    try:
+        while client.buffered < LINE and await client.fill():
+            pass
+        if client.buffered >= LINE:
+            await trio.sleep_forever()
+    except Broken:
+        pass
+    scope.cancel()
+
+
+def _busy(wait: float) -> bytes:
+    ms = math.ceil(wait * 1000)
+    return b"BUSY %d\r\n" % ms if ms > 0 else b"BUSY\r\n"
+
+
+def _trace(e: BaseException) -> str:
+    return "".join(traceback.format_exception(e))[-2000:]
+
+
+def listen(address: Address) -> trio.SocketListener:
+    sock = socket.create_server(
+        address, family=socket.AF_INET6 if ":" in address[0] else socket.AF_INET, backlog=BACKLOG)
+    sock.setblocking(False)
+    return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
--- /dev/null
+++ b/aspensaddle/net/lines.py
@@ -0,0 +1,108 @@
+"""Lines of text over a trio stream, and connections that end well."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from contextlib import suppress
+
+import trio
+
+LINE = 4096  # bytes of a line at most, its end included
+CHUNK = 4096
+
+
+class TooLong(Exception):
+    """A line longer than the protocol allows."""
+
+
+class Broken(Exception):
+    """The connection was reset, or can't be used any more."""
+
+
+class Link:
+    """One TCP connection with a buffer for what has come of a line."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        self._buffer = bytearray()
+        self.ended = False  # the other side has ended its sending
+
+    async def fill(self) -> bool:
+        """Read some more; False at the end."""
+        if self.ended:
+            return False
+        try:
+            data = await self.stream.receive_some(CHUNK)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            raise Broken from None
+        if not data:
+            self.ended = True
+            return False
+        self._buffer += data
+        return True
+
+    def take_lines(self) -> bytes:
+        """All whole lines that have come."""
+        end = self._buffer.rfind(b"\n") + 1
+        if len(self._buffer) - end >= LINE:
+            raise TooLong
+        lines = bytes(self._buffer[:end])
+        del self._buffer[:end]
+        return lines
+
+    def take_rest(self) -> bytes:
+        """What stands after the last whole line."""
+        rest = bytes(self._buffer)
+        self._buffer.clear()
+        return rest
+
+    async def line(self) -> bytes | None:
+        """The next line with its end, or None where the connection ends before it."""
+        while (end := self._buffer.find(b"\n") + 1) == 0:
+            if len(self._buffer) >= LINE:
+                raise TooLong
+            if not await self.fill():
+                return None
+        if end > LINE:
+            raise TooLong
+        line = bytes(self._buffer[:end])
+        del self._buffer[:end]
+        return line
+
+    @property
+    def buffered(self) -> int:
+        return len(self._buffer)
+
+    async def send(self, data: bytes) -> None:
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            raise Broken from None
+
+    async def end_sending(self) -> None:
+        try:
+            await self.stream.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            raise Broken from None
+
+    async def close_gently(self, within: float) -> None:
+        """Close so that what was sent arrives: a close with unread data would reset the connection and may
+        take the last line with it, so read on until the other side has ended too."""
+        with trio.move_on_after(within, shield=True):
+            try:
+                await self.end_sending()
+                while await self.fill():
+                    self._buffer.clear()
+            except Broken:
+                pass
+        self.close()
+
+    def close(self) -> None:
+        self.stream.socket.close()
+
+    def reset(self) -> None:
+        """Close as a process that died would."""
+        with suppress(trio.ClosedResourceError, OSError):
+            self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close()
--- /dev/null
+++ b/aspensaddle/net/servers.py
@@ -0,0 +1,147 @@
+"""The runners: one attempt of a request at one of them, and probes."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from dataclasses import dataclass
+from typing import Protocol
+
+import trio
+
+from aspensaddle.driver import Driver
+from aspensaddle.interface import Outcome
+from aspensaddle.net.config import Address, Fleet
+from aspensaddle.net.counters import Counters
+from aspensaddle.net.lines import Broken, Link, TooLong
+
+PROBE_WITHIN = 0.5
+
+# What the first word of an answer says of the attempt.
+ANSWERS = {
+    b"UP": Outcome.OK, b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED, b"ERR": Outcome.ERROR,
+    b"BUSY": Outcome.FULL,
+}
+
+
+class FirstLine(Protocol):
+    def __call__(self, wait: float) -> bytes:
+        """The line that opens the connection, when the balancer waits this long for the answer."""
+
+
+@dataclass(slots=True)
+class Up:
+    """A connection that stands: what the runner has said so far, from its UP on."""
+
+    link: Link
+    said: bytes
+
+
+@dataclass(slots=True)
+class Failed:
+    outcome: Outcome
+    said: bytes = b""
+
+
+def first_word(line: bytes) -> bytes:
+    return line.split(None, 1)[0] if line.strip() else b""
+
+
+class Servers:
+    def __init__(self, driver: Driver, fleet: Fleet, counters: Counters) -> None:
+        self.driver, self.fleet, self.counters = driver, fleet, counters
+        self.connect_within = driver.settings.limits.connect_timeout
+
+    async def attempt(self, server: int, first: FirstLine, within: float,
+                      adopt: bool = False) -> Up | Failed:
+        """Offer a request to a runner. Unless it is up, the attempt's connection is closed on return, so that
+        none is still out when the next begins."""
+        self.counters.add("attempts")
+        deadline = trio.current_time() + within
+        link: Link | None = None
+        outcome, said = Outcome.TIMED_OUT, b""
+        try:
+            with trio.move_on_at(deadline):
+                connected = await self._connect(server)
+                if isinstance(connected, Outcome):
+                    outcome = connected
+                else:
+                    link = connected
+                    outcome, said = await self._offer(link, server, first, deadline, adopt)
+                    if outcome is Outcome.OK and first_word(said) == b"UP":
+                        up, link = Up(link, said), None
+                        self.counters.add("attempts up")
+                        return up
+        finally:
+            if link is not None:
+                link.close()
+        self.counters.add(f"attempts {outcome.label}")
+        return Failed(outcome, said)
+
+    async def _connect(self, server: int) -> Link | Outcome:
+        address = self.fleet.addresses.get(server)
+        if address is None:
+            return Outcome.VOID  # left the list since it was chosen
+        try:
+            stop = trio.current_time() + self.connect_within
+            with trio.move_on_at(stop):
+                return Link(await connect(address))
+        except OSError as e:
+            if e.errno in NO_DESCRIPTORS:
+                self.counters.add("out of descriptors")
+                return Outcome.VOID  # nothing was sent, and the runner has no part in it
+            return Outcome.UNREACHABLE
+        return Outcome.UNREACHABLE
+
+    async def _offer(self, link: Link, server: int, first: FirstLine,
+                     deadline: float, adopt: bool) -> tuple[Outcome, bytes]:
+        # Guards against a drain told while the connection came up: a send counts from its first byte.
+        if not adopt and not self.driver.may_send(server):
+            return Outcome.VOID, b""
+        try:
+            await link.send(first(deadline - trio.current_time()))
+        except Broken:
+            return Outcome.UNREACHABLE, b""
+        loads = b""
+        try:
+            while (line := await link.line()) is not None:
+                if first_word(line) == b"LOAD":
+                    loads += line  # belongs behind the UP
+                    continue
+                return ANSWERS.get(first_word(line), Outcome.ERROR), line + loads
+        except (Broken, TooLong):
+            pass
+        return Outcome.BROKEN, b""
+
+    async def probe(self, server: int) -> None:
+        """Ask a runner whether it answers, and tell the driver."""
+        self.counters.add("probes")
+        start, outcome = trio.current_time(), Outcome.TIMED_OUT
+        with trio.move_on_after(PROBE_WITHIN):
+            connected = await self._connect(server)
+            if isinstance(connected, Outcome):
+                outcome = connected
+            else:
+                try:
+                    await connected.send(b"PING\r\n")
+                    line = await connected.line()
+                    outcome = Outcome.BROKEN if line is None else \
+                        Outcome.OK if first_word(line) == b"PONG" else Outcome.ERROR
+                except (Broken, TooLong):
+                    outcome = Outcome.BROKEN
+                finally:
+                    connected.close()
+        self.driver.probed(server, outcome, trio.current_time() - start)
+
+
+NO_DESCRIPTORS = frozenset({errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM})
+
+
+async def connect(address: Address) -> trio.SocketStream:
+    sock = trio.socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    try:
+        await sock.connect(address)
+        return trio.SocketStream(sock)
+    except BaseException:
+        sock.close()
+        raise
