Pass on lines that came with the UP; tests of the program, its parsers and its driver

Saw: an integration test in which the runner writes UP and a LOAD line in one piece got the second line only with the runner's next one. Cause: Relay._from_runner began by reading from the socket and looked at the link's buffer only after that; a line left there by the attempt was held, over a second if the runner stays quiet. Checked: the same for lines that a client sends before its UP (they are taken first there, no change).

--- a/aspensaddle/__main__.py
+++ b/aspensaddle/__main__.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import gc
+import os
 import signal
 import sys
+from pathlib import Path
+
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -14,8 +18,14 @@
 from aspensaddle.net.counters import Counters
 from aspensaddle.net.discovery import Discovery
 from aspensaddle.net.log import Log
+from aspensaddle.net.quic.settings import QuicSettings, load_quic
 from aspensaddle.net.servers import Servers
 
+if TYPE_CHECKING:
+    from aspensaddle.net.quic.front import Front
+
+QUIC_FILE = "deploy/quic.toml"  # ASPENSADDLE_QUIC names another
+
 END_BEFORE = 0.4  # seconds before the platform would kill the process
 KILLED_AFTER = 0.7  # and the longest deadline
 
@@ -23,24 +33,33 @@
 class Daemon:
     """The services of one process for its balancer."""
 
-    def __init__(self, config: Config, log: Log) -> None:
+    def __init__(self, config: Config, quic: QuicSettings | None, log: Log) -> None:
         self.config, self.log, self.counters = config, log, Counters()
         self.fleet = Fleet(config.zones)
         self.driver = Driver(config.settings, config.seed, self)
         self.servers = Servers(self.driver, self.fleet, self.counters)
         self.discovery = Discovery(config.discovery, self.driver, self.fleet, self.counters, log)
         self.clients = Clients(config, self.driver, self.servers, self.fleet, self.counters, log)
+        self.quic: Front | None = None
+        if quic is not None:
+            # Only where it is on: its libraries are heavy for a platform that does without.
+            from aspensaddle.net.quic.front import Front
+            self.quic = Front(quic, self.driver, self.fleet, self.counters, log)
         self._timer = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
         listener = listen(self.config.listen)
+        if self.quic is not None:
+            self.quic.bind()
         async with trio.open_nursery() as self._nursery:
             self.discovery.rev = self.config.known.rev
             self.driver.start(self.fleet.take(self.config.known))
             self._nursery.start_soon(self._timers)
             self._nursery.start_soon(self.clients.sweep)
             self._nursery.start_soon(self.clients.serve, listener, self._nursery)
+            if self.quic is not None:
+                self._nursery.start_soon(self.quic.run)
             self.log.event("started", listen=self.config.listen, rev=self.config.known.rev,
                            runners=len(self.config.known.targets))
             await self._signals()
@@ -53,6 +72,8 @@
                 if number == signal.SIGUSR1:
                     self.report()
                     continue
+                if self.quic is not None:
+                    self.quic.closing = True
                 self.log.event("stopping", standing=len(self.clients.cases))
                 longest = max(c.deadline for c in self.config.settings.classes)
                 with trio.move_on_after(min(3.0, longest) + KILLED_AFTER - END_BEFORE):
@@ -95,18 +116,19 @@
 def main() -> int:
     try:
         config = load_config()
+        quic = load_quic(Path(os.environ.get("ASPENSADDLE_QUIC", QUIC_FILE)), config.classes)
     except ConfigError as e:
         print(f"aspensaddle: {e}", file=sys.stderr)
         return 2
     gc.freeze()
     gc.set_threshold(50_000, 20, 50)  # few cycles arise; frequent passes only cost CPU
     log = Log(config.name)
-    daemon = Daemon(config, log)
+    daemon = Daemon(config, quic, log)
     try:
         trio.run(daemon.run)
         return 0
     except OSError as e:
-        print(f"aspensaddle: listen {config.listen[0]}:{config.listen[1]}: {e.strerror}", file=sys.stderr)
+        print(f"aspensaddle: listen: {e.strerror or e}", file=sys.stderr)
         return 2
     finally:
         daemon.report()
--- a/aspensaddle/net/clients.py
+++ b/aspensaddle/net/clients.py
@@ -195,7 +195,9 @@
             await self.runner.send(data)
 
     async def _from_runner(self, said: bytes) -> None:
-        lines, more = said, True
+        # Lines that came in one piece with the UP are in the link's buffer already: held, they would wait for
+        # the runner's next.
+        lines, more = said + self.runner.take_lines(), True
         while more:
             if lines:
                 self._note(lines)
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,254 @@
+"""Small stand-ins for what the program meets: discovery and runners over TCP, and the program itself.
+
+Written from the protocol. Each serves on a free port of the loopback, in threads, until it is closed.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+WAIT = 20.0  # for anything; far more than it takes
+
+SETTINGS: dict[str, Any] = {
+    "discovery": "on_request", "failure-domains": ["surabaya", "semarang"], "locality": 0, "fleet-size": 1,
+    "family-info": {"groups": True, "message-aim": [0.15, 0.06], "mode": "proxy"},
+    "guarantees": {"answer-slack": 0.02, "cold-share": 0.12, "drain-grace": 2.0, "fall": 2.0,
+                   "must-ask-in": 0.2, "tip-multiple": 4.0, "warm-after": 24.0},
+    "lanes": [{"aim": 0.3, "deadline": 3.0, "name": "test-run", "repeat": "pure", "worth": 5.0},
+              {"aim": 0.3, "deadline": 3.0, "name": "draft-save", "repeat": "pure", "worth": 3.0}],
+    "limits": {"connect-timeout": 0.25, "most-tries": 6, "retry-after": True, "max-retry-after": 1.0,
+               "cancel": True},
+}
+
+
+def until(done: Callable[[], Any], what: str = "") -> Any:
+    """Wait for something to become true."""
+    end = time.monotonic() + WAIT
+    while not (value := done()):
+        assert time.monotonic() < end, f"in vain: {what}"
+        time.sleep(0.01)
+    return value
+
+
+class Server:
+    """Accepts connections and serves each in a thread."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address: tuple[str, int] = self.listener.getsockname()
+        self.connections: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections.append(connection)
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        try:
+            self.serve(connection)
+        except OSError:
+            pass
+        finally:
+            connection.close()
+
+    def serve(self, connection: socket.socket) -> None:
+        raise NotImplementedError
+
+    def close(self) -> None:
+        """Stop and cut off whoever is connected."""
+        for s in (self.listener, *self.connections):
+            with suppress(OSError):  # closed already
+                s.shutdown(socket.SHUT_RDWR)  # a close alone leaves the accept that waits in place
+        self.listener.close()
+
+
+class Runner(Server):
+    """Answers a first line and returns every other. `answer` may be changed between connections."""
+
+    def __init__(self, uid: str, answer: bytes = b"UP r\r\n") -> None:
+        self.uid, self.answer, self.first_lines = uid, answer, list[bytes]()
+        self.mute = False  # brings nothing back
+        super().__init__()
+
+    def serve(self, connection: socket.socket) -> None:
+        with connection.makefile("rb") as lines:
+            self.first_lines.append(lines.readline())
+            if not self.answer:  # silent until the balancer gives up
+                lines.readline()
+                return
+            connection.sendall(self.answer.replace(b"UP r", b"UP " + self.uid.encode()))
+            if not self.answer.startswith(b"UP"):
+                return
+            for line in lines:
+                if line.startswith(b"QUIT"):
+                    connection.sendall(b"BYE\r\n")
+                    return
+                if not self.mute:
+                    connection.sendall(line)
+
+    def target(self, **more: Any) -> dict[str, Any]:
+        return {"uid": self.uid, "endpoint": f"127.0.0.1:{self.address[1]}", "az": "surabaya", "model": "m",
+                "pod_group": 0, "state": "active", "capacity_hint": 1.0, "boot_ms": 0, **more}
+
+
+class Discovery(Server):
+    """The whole list, and watches that get every change made by `change`."""
+
+    def __init__(self, targets: list[dict[str, Any]]) -> None:
+        self.rev, self.targets = 1, {t["uid"]: t for t in targets}
+        self.watches = 0
+        self.refuse = 0  # so many calls get 503
+        self.mute = False  # no heartbeats
+        self.changes: list[list[dict[str, Any]]] = []
+        super().__init__()
+
+    def change(self, *targets: dict[str, Any]) -> None:
+        self.targets.update({t["uid"]: t for t in targets})
+        self.rev += 1
+        self.changes.append(list(targets))
+
+    def serve(self, connection: socket.socket) -> None:
+        with connection.makefile("rb") as lines:
+            target = lines.readline().split()[1]
+            while lines.readline().strip():
+                pass
+        if self.refuse:
+            self.refuse -= 1
+            connection.sendall(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            return
+        whole = self._update(True, list(self.targets.values()))
+        if b"watch=1" not in target:
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(whole), whole))
+            return
+        self.watches += 1
+        done = len(self.changes)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + self._chunk(whole))
+        while True:
+            for _ in range(100):
+                if len(self.changes) > done:
+                    break
+                time.sleep(0.01)
+            if len(self.changes) > done:
+                connection.sendall(self._chunk(self._update(False, self.changes[done])))
+                done += 1
+            elif not self.mute:
+                connection.sendall(self._chunk(b"\r\n"))
+
+    def _update(self, full: bool, targets: list[dict[str, Any]]) -> bytes:
+        return json.dumps({"rev": self.rev, "all": full, "targets": targets}).encode() + b"\r\n"
+
+    def _chunk(self, data: bytes) -> bytes:
+        return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as s:
+        s.bind(("127.0.0.1", 0))
+        return int(s.getsockname()[1])
+
+
+class Program:
+    """The balancer as a process."""
+
+    def __init__(self, folder: Path, discovery: tuple[str, int], known: list[dict[str, Any]],
+                 quic: str = "", **config: Any) -> None:
+        self.address = ("127.0.0.1", free_port())
+        self.folder = folder
+        body = {"name": "n0", "listen": f"127.0.0.1:{self.address[1]}", "seed": "8c1f30d27a5be964",
+                "discovery": f"{discovery[0]}:{discovery[1]}", "settings": SETTINGS,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "known": {"rev": 1, "all": True, "targets": known}, **config}
+        (folder / "config.json").write_text(json.dumps(body))
+        (folder / "quic.toml").write_text(quic or "enabled = false\n")
+        self.log = folder / "log"
+        self.start()
+
+    def start(self) -> None:
+        environ = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"),
+                   "ASPENSADDLE_QUIC": str(self.folder / "quic.toml")}
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "aspensaddle"], cwd=ROOT, env=environ,
+                                            stdout=log, stderr=log)
+        until(self._ready, "the program is ready")
+
+    def _ready(self) -> bool:
+        assert self.process.poll() is None, self.log.read_text()
+        try:
+            with Client(self.address) as c:
+                c.send(b"PING\r\n")
+                return c.line() == b"PONG\r\n"
+        except OSError:
+            return False
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        lines = self.log.read_bytes().split(b"\n")[:-1]
+        return [e for e in map(json.loads, lines) if e["event"] == name]
+
+    def counts(self) -> dict[str, int]:
+        """The counters, printed on request."""
+        seen = len(self.events("counters"))
+        self.process.send_signal(signal.SIGUSR1)
+        counts: dict[str, int] = until(lambda: self.events("counters")[seen:], "counters")[0]["counts"]
+        return counts
+
+    def terminate(self) -> int:
+        self.process.terminate()
+        return self.process.wait(WAIT)
+
+    def kill(self) -> None:
+        self.process.kill()
+        self.process.wait(WAIT)
+
+
+class Client:
+    """One connection of a client."""
+
+    count = 0
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(address, WAIT)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.lines = self.sock.makefile("rb")
+
+    def open(self, more: str = "c=test-run,d=3000") -> bytes:
+        """The answer to an OPEN."""
+        Client.count += 1
+        self.send(f"OPEN {Client.count:016x} 7f3a9c21e0b4d655 {more}\r\n".encode())
+        return self.line()
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def line(self) -> bytes:
+        return self.lines.readline()
+
+    def echo(self, text: bytes) -> bytes:
+        self.send(text + b"\r\n")
+        return self.line()
+
+    def close(self) -> None:
+        self.lines.close()
+        self.sock.close()
+
+    def __enter__(self) -> Client:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
--- /dev/null
+++ b/tests/test_driver.py
@@ -0,0 +1,135 @@
+"""The driver: its clock, its timers and whom it tells what."""
+
+from dataclasses import replace
+
+from helpers import SETTINGS, entry
+
+from aspensaddle.driver import Driver
+from aspensaddle.interface import (
+    DelayNote, ListScope, Move, Outcome, Refuse, Request, Send, ServerState, TimerFired,
+)
+
+
+class Owner:
+    def __init__(self):
+        self.actions = []
+
+    def act(self, action):
+        self.actions.append(action)
+
+
+class Services:
+    def __init__(self):
+        self.calls = []
+
+    def watch(self, on):
+        self.calls.append(("watch", on))
+
+    def fetch(self):
+        self.calls.append("fetch")
+
+    def probe(self, server):
+        self.calls.append(("probe", server))
+
+    def timer_set(self):
+        self.calls.append("timer")
+
+
+class World:
+    def __init__(self, servers=2, settings=SETTINGS):
+        self.time, self.services = 1e9, Services()
+        self.driver = Driver(settings, 1, self.services, lambda: self.time)
+        self.driver.start(entry(n) for n in range(1, servers + 1))
+        self.events = []
+        handle = self.driver.balancer.handle
+        self.driver.balancer.handle = lambda now, e: (self.events.append((now, e)), handle(now, e))[1]
+
+    def ask(self, id="r", left=2.0):
+        owner = Owner()
+        self.driver.request(owner, Request(id, 0, left))
+        return owner
+
+
+def test_attempts_go_on_until_one_final_answer():
+    w = World()
+    owner = w.ask()
+    for _ in range(6):
+        assert isinstance(owner.actions[-1], Send)
+        w.driver.ended("r", Outcome.FULL)
+    assert isinstance(owner.actions[-1], Refuse) and "r" not in w.driver
+    w.driver.ended("r", Outcome.FULL)
+    w.driver.gone("r")
+    assert sum(isinstance(a, Refuse) for a in owner.actions) == 1
+
+
+def test_a_time_out_that_wakes_a_hair_early_is_the_deadline_s():
+    w = World()
+    owner = w.ask(left=2.0)
+    w.time += 2.0 - 1e-4
+    w.driver.ended("r", Outcome.TIMED_OUT)
+    assert isinstance(owner.actions[-1], Refuse)  # and not a send of no length
+
+
+def test_a_send_chosen_before_a_drain_was_told_may_not_begin():
+    w = World()
+    server = w.ask().actions[0].server
+    assert w.driver.may_send(server)
+    w.driver.servers(ListScope.CHANGES, (entry(server, state=ServerState.DRAINING),))
+    assert not w.driver.may_send(server)
+    w.driver.servers(ListScope.FULL, (entry(server),))
+    assert w.driver.may_send(server) and not w.driver.may_send(3 - server)
+
+
+def test_timers_fire_when_due_and_the_clock_never_goes_back():
+    w = World()
+    assert w.services.calls == ["timer"]
+    due = w.driver.next_timer()
+    w.time += due / 2
+    w.driver.run_timers()
+    assert not w.events
+    w.time += due
+    w.driver.run_timers()
+    assert [e for _, e in w.events] == [TimerFired("tick")]
+    now = w.driver.now()
+    w.time -= 100
+    assert w.driver.now() == now
+
+
+def test_watches_are_asked_for_where_the_list_comes_only_when_asked():
+    w = World(settings=replace(SETTINGS, ask_discovery=True))
+    w.time += 60
+    w.driver.run_timers()
+    assert ("watch", True) in w.services.calls
+
+
+def test_slow_lines_become_a_note_a_second_and_one_more_when_it_is_over():
+    w = World()
+    w.ask()
+    w.driver.established("r")
+    notes = lambda: [e for _, e in w.events if isinstance(e, DelayNote)]  # noqa: E731
+    for _ in range(10):
+        w.time += 0.25
+        w.driver.waited("r", 0.001)
+    assert not notes()
+    for _ in range(20):
+        w.time += 0.25
+        w.driver.waited("r", 0.5)
+    assert 4 <= len(notes()) <= 6 and notes()[-1].delay == 0.5
+    w.time += 1.0
+    w.driver.waited("r", 0.9)  # one line alone that is late proves nothing
+    slow = len(notes())
+    for _ in range(12):
+        w.time += 0.25
+        w.driver.waited("r", 0.001)
+    assert len(notes()) == slow + 1 and notes()[-1].delay < 0.02
+
+
+def test_a_move_reaches_the_owner_of_the_connection():
+    w = World(servers=1)
+    owners = [w.ask(f"r{n}") for n in range(20)]
+    for n in range(20):
+        w.driver.established(f"r{n}")
+    w.time += 2.0
+    w.driver.waited("r7", 0.5)  # a tenth of what the server holds goes
+    moved = [a.id for o in owners for a in o.actions if isinstance(a, Move)]
+    assert len(moved) >= 2 and all(owners[int(id[1:])].actions[-1].id == id for id in moved)
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,106 @@
+"""Random cuts of valid messages, and random garbage, against every parser of the fronts."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from aspensaddle.decode import DecodeError
+from aspensaddle.interface import ServerState
+from aspensaddle.net.clients import BadOpen, parse_open
+from aspensaddle.net.config import Fleet, load_json, parse_config, parse_update, stable_hash
+
+CLASSES = {"test-run": 0, "draft-save": 1}
+OPEN = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=draft-save,d=2000,h=0.5,r=1,g=5c0f6e1a2b3d4c59,again=1\r\n"
+LIST = json.dumps({"rev": 41, "all": True, "targets": [
+    {"uid": "s-5be2a07c", "endpoint": "10.1.0.18:8000", "az": "a", "model": "m2", "pod_group": 3,
+     "state": "active", "capacity_hint": 1.0, "boot_ms": 1796122829834},
+    {"uid": "s-2", "endpoint": "10.1.0.19:8000", "az": "b", "model": "m2", "pod_group": 3, "state": "left",
+     "capacity_hint": 1.0, "boot_ms": 0}]}).encode()
+CONFIG = json.dumps({
+    "name": "n3", "listen": "127.0.0.1:8000", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": json.loads(LIST),
+    "settings": {"failure-domains": ["a", "b"], "lanes": [
+        {"name": "test-run", "aim": 0.3, "deadline": 1.2, "repeat": "pure", "worth": 5.0}]}}).encode()
+
+mutations = st.tuples(st.integers(0, 400), st.integers(0, 12), st.binary(max_size=12))
+
+
+def mutate(data, change):
+    at, cut, new = change
+    return data[:at] + new + data[at + cut:]
+
+
+def test_open_is_read_and_only_d_is_written_anew():
+    opened = parse_open(OPEN, CLASSES, groups=True)
+    r = opened.request
+    assert (r.id, r.cls, r.time_left, r.load, r.repeat, r.returning) == ("9b1f03aa5c7e2d41", 1, 2.0, 0.5, True, True)
+    assert opened.first_line(0.7504) == OPEN.replace(b"d=2000", b"d=750")
+    again = parse_open(OPEN.replace(b"9b1f", b"0000"), CLASSES, groups=True).request
+    assert (again.key, again.group) == (r.key, r.group) and r.key != r.group
+    assert parse_open(OPEN, CLASSES, groups=False).request.group is None
+    # a name that ends in d, or a d within a value, is not the wait
+    line = b"OPEN i k c=test-run,end=5,d=9,x=d=1\r\n"
+    assert parse_open(line, CLASSES, True).first_line(1.0) == line.replace(b",d=9", b",d=1000")
+
+
+@given(mutations)
+def test_open_is_read_or_refused(change):
+    try:
+        opened = parse_open(mutate(OPEN, change), CLASSES, groups=True)
+    except BadOpen:
+        return
+    assert opened.request.cls in (0, 1) and opened.request.time_left >= 0
+    assert opened.request.load is None or 0 <= opened.request.load < 1e9
+
+
+@given(st.binary(max_size=200))
+def test_garbage_is_no_open(data):
+    with pytest.raises(BadOpen):
+        parse_open(data, CLASSES, groups=True)
+
+
+@given(mutations)
+def test_a_list_is_read_or_refused_and_numbered(change):
+    try:
+        update = parse_update(load_json(mutate(LIST, change)))
+    except DecodeError as e:
+        assert str(e)
+        return
+    fleet = Fleet(("a", "b"))
+    for entry, target in zip(fleet.take(update), update.targets, strict=True):
+        assert 0 <= entry.server < 2**32
+        assert (fleet.find(target.uid) == entry.server) is (target.state is not ServerState.GONE) \
+            or len({t.uid for t in update.targets}) == 1
+
+
+@given(mutations)
+def test_a_configuration_is_read_or_refused(change):
+    try:
+        config = parse_config(load_json(mutate(CONFIG, change)))
+    except DecodeError as e:
+        assert str(e)
+        return
+    assert config.settings.classes and config.limits.sockets >= 64
+
+
+def test_numbers_of_runners_are_the_same_everywhere_and_never_shared(monkeypatch):
+    fleets = Fleet(()), Fleet(())
+    for fleet, uids in zip(fleets, (["a", "b", "c"], ["c", "a", "b"]), strict=True):
+        for uid in uids:
+            fleet.number(uid)
+    assert [fleets[0].number(u) for u in "abc"] == [fleets[1].number(u) for u in "abc"]
+    # two uids with one hash
+    monkeypatch.setattr("aspensaddle.net.config.stable_hash",
+                        lambda text, bits: 7 if "#" not in text else stable_hash(text, bits))
+    fleet = Fleet(())
+    assert len({fleet.number(u) for u in "abc"}) == 3 and fleet.number("a") == 7
+
+
+def test_a_whole_list_forgets_who_is_not_in_it():
+    fleet = Fleet(("a", "b"))
+    fleet.take(parse_update(load_json(LIST)))
+    assert fleet.find("s-5be2a07c") is not None and fleet.find("s-2") is None
+    fleet.take(parse_update({"rev": 42, "all": True, "targets": []}))
+    assert fleet.find("s-5be2a07c") is None and not fleet.addresses
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,217 @@
+"""The program as a process, spoken to over sockets."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+from contextlib import suppress
+
+import pytest
+from standins import ROOT, WAIT, Client, Discovery, Program, Runner, until
+
+
+class World:
+    """Discovery, runners and the program."""
+
+    def __init__(self, folder, *answers, **config):
+        self.runners = [Runner(f"s-{i}", a) for i, a in enumerate(answers)]
+        self.discovery = Discovery([r.target() for r in self.runners])
+        self.program = Program(folder, self.discovery.address, [r.target() for r in self.runners], **config)
+
+    def client(self):
+        return Client(self.program.address)
+
+    def close(self):
+        self.program.kill()
+        for s in (self.discovery, *self.runners):
+            s.close()
+
+
+@pytest.fixture
+def world(tmp_path):
+    made = []
+
+    def make(*answers, **config):
+        made.append(World(tmp_path, *(answers or (b"UP r\r\n", b"UP r\r\n")), **config))
+        return made[-1]
+
+    yield make
+    for w in made:
+        w.close()
+
+
+def test_a_connection_lives_from_open_to_bye(world):
+    w = world(b"UP r\r\nLOAD 1500.5\r\n")
+    with w.client() as c:
+        assert c.open("c=draft-save,d=2500,g=5c0f6e1a2b3d4c59,x=1") == b"UP s-0\r\n"
+        assert c.line() == b"LOAD 1500.5\r\n"  # told to the balancer and still passed on
+        assert c.echo(b"M 1 f79c") == b"M 1 f79c\r\n"
+        c.send(b"QUIT\r\n")
+        assert c.line() == b"BYE\r\n"
+        assert c.line() == b""
+    (first,) = w.runners[0].first_lines
+    head, d, tail = first.partition(b"d=")
+    wait, comma, rest = tail.partition(b",")
+    assert head.endswith(b" 7f3a9c21e0b4d655 c=draft-save,") and rest == b"g=5c0f6e1a2b3d4c59,x=1\r\n"
+    assert 0 < int(wait) < 2500  # how long the balancer waits, which is less than the client does
+    counts = until(lambda: (c := w.program.counts()).get("ended ok") and c, "the end")
+    assert counts["answers UP"] == counts["attempts up"] == counts["ended ok"] == 1
+
+
+@pytest.mark.parametrize("answer", [b"BUSY\r\n", b"ERR\r\n", b"MOVE\r\n", b"\xff\r\n", b"x" * 5000])
+def test_an_attempt_that_fails_is_tried_elsewhere_after_it_has_ended(world, answer):
+    w = world(answer, b"UP r\r\n")
+    for _ in range(4):
+        with w.client() as c:
+            assert c.open() == b"UP s-1\r\n"
+
+
+def test_a_runner_that_is_down_is_not_the_end(world):
+    w = world()
+    w.runners[0].close()
+    for _ in range(4):
+        with w.client() as c:
+            assert c.open() == b"UP s-1\r\n"
+
+
+def test_what_no_runner_takes_is_refused_once_and_at_once(world):
+    w = world(b"BUSY\r\n")
+    with w.client() as c:
+        c.sock.settimeout(WAIT)
+        answer = c.open("c=test-run,d=100000")
+        assert answer.startswith(b"BUSY ") and 0 < int(answer[5:]) <= 1000
+        assert c.line() == b""
+    assert len(w.runners[0].first_lines) <= 6
+
+
+def test_a_silent_runner_is_given_up_before_the_client_gives_up(world):
+    w = world(b"")
+    with w.client() as c:
+        start = time.monotonic()
+        assert c.open("c=test-run,d=600").startswith(b"BUSY ")
+        assert time.monotonic() - start > 0.3  # it was waited for
+
+
+@pytest.mark.parametrize("line", [b"\r\n", b"GET / HTTP/1.1\r\n", b"OPEN\r\n", b"OPEN a b c=nope\r\n",
+                                  b"OPEN a b c=test-run,d=-1\r\n", b"\x00\xff\r\n", b"y" * 5000])
+def test_garbage_gets_an_answer_and_harms_nobody(world, line):
+    w = world()
+    with w.client() as bad, w.client() as good:
+        bad.send(line)
+        assert bad.line() == b"ERR\r\n"
+        assert good.open().startswith(b"UP ")
+    assert "faults" not in w.program.counts()
+
+
+def test_half_closes_are_mirrored(world):
+    w = world(b"UP r\r\n")
+    with w.client() as c:
+        c.open()
+        c.send(b"last words\r\n")
+        c.sock.shutdown(socket.SHUT_WR)
+        assert c.line() == b"last words\r\n"
+        assert c.line() == b""
+
+
+def test_a_runner_that_dies_takes_its_connections_with_it(world):
+    w = world(b"UP r\r\n")
+    with w.client() as c:
+        c.open()
+        w.runners[0].close()
+        with suppress(ConnectionResetError):
+            assert c.line() == b""
+
+
+def test_a_runner_that_brings_nothing_back_loses_its_clients_by_move(world):
+    w = world(b"UP r\r\n")
+    with w.client() as c:
+        c.open()
+        w.runners[0].mute = True
+        c.send(b"M 1\r\n")
+        start = time.monotonic()
+        assert c.line() == b"MOVE\r\n" and c.line() == b""
+        assert time.monotonic() - start > 2
+
+
+def test_nothing_new_goes_to_a_runner_told_to_drain(world):
+    w = world()
+    until(lambda: w.discovery.watches, "a watch")
+    w.discovery.change(w.runners[0].target(state="leaving"))
+    until(lambda: any(e["rev"] == 2 for e in w.program.events("list")), "the change")
+    for _ in range(6):
+        with w.client() as c:
+            assert c.open() == b"UP s-1\r\n"
+    w.discovery.change(w.runners[0].target(state="active"), w.runners[1].target(state="left"))
+    until(lambda: any(e["rev"] == 3 for e in w.program.events("list")), "the change back")
+    with w.client() as c:
+        assert c.open() == b"UP s-0\r\n"
+
+
+def test_a_watch_that_fails_or_falls_silent_is_opened_again(world):
+    w = world()
+    w.discovery.refuse = 2
+    until(lambda: w.discovery.watches, "a watch after refusals")
+    w.discovery.mute = True  # as a machine that vanished
+    until(lambda: w.discovery.watches > 1, "a second watch")
+
+
+def test_adopted_connections_go_where_they_were(world):
+    w = world()
+    for _ in range(3):
+        with w.client() as c:
+            assert c.open("c=test-run,d=1000,at=s-1") == b"UP s-1\r\n"
+    assert w.program.counts()["answers UP"] == 3
+
+
+def test_before_it_ends_it_moves_all_and_answers_who_still_comes(world):
+    w = world()
+    standing = [w.client() for _ in range(5)]
+    for c in standing:
+        assert c.open().startswith(b"UP ")
+    ended = []
+    thread = threading.Thread(target=lambda: ended.append(w.program.terminate()))
+    thread.start()
+    until(lambda: w.program.events("stopping"), "the signal")
+    with w.client() as late:
+        assert late.open().startswith(b"BUSY ")
+    for c in standing:
+        assert c.line() == b"MOVE\r\n" and c.line() == b""
+        c.close()
+    thread.join(WAIT)
+    assert ended == [0]
+    (counters,) = w.program.events("counters")  # printed at exit
+    assert counters["counts"]["moved"] == 5
+
+
+def test_descriptors_are_bound(world):
+    w = world(limits={"sockets": 160})
+    clients = [w.client() for _ in range(40)]
+    answers = [c.open() for c in clients]
+    assert {a.split()[0] for a in answers} == {b"UP", b"BUSY"}  # refused, but none is left without
+    for c in clients:
+        c.close()
+
+    def room():
+        with w.client() as c:
+            return c.open().startswith(b"UP ")
+
+    until(room, "room again")
+
+
+def test_wrong_configuration_is_one_clear_line(tmp_path):
+    def start(**environ):
+        done = subprocess.run([sys.executable, "-m", "aspensaddle"], cwd=ROOT, capture_output=True, text=True,
+                              timeout=WAIT, env={**os.environ, "ASPENSADDLE_QUIC": "/nowhere", **environ})
+        assert done.returncode == 2 and done.stdout == "" and done.stderr.count("\n") == 1
+        return done.stderr
+
+    path = tmp_path / "c.json"
+    assert "LB_CONFIG" in start(LB_CONFIG="")
+    assert str(path) in start(LB_CONFIG=str(path))
+    for body, field in (("{", "not JSON"), ("{}", "settings"), ('{"settings": {"lanes": [{}]}}', "settings.aim"),
+                        (json.dumps({"settings": {"lanes": []}, "name": "n"}), "settings.classes")):
+        path.write_text(body)
+        assert field in start(LB_CONFIG=str(path))
