--- a/aspensaddle/net/quic/front.py
+++ b/aspensaddle/net/quic/front.py
@@ -230,9 +230,13 @@
             raise Malformed("no whole packet")
         dcid = packets[0].dcid
         if (session := self.chosen.get(dcid)) is not None:
-            if session.server is not None:
+            if peer != session.peer:
+                # A client has one address until its handshake is over (RFC 9000, 9). Guards against copies
+                # from elsewhere that would open paths to the runner.
+                self.counters.add("quic from elsewhere")
+            elif session.server is not None:
                 self._forward(session, session.server, data, peer)
-            elif peer == session.peer and len(session.waiting) < BUFFERED and data not in session.waiting:
+            elif len(session.waiting) < BUFFERED and data not in session.waiting:
                 session.waiting.append(data)
                 if session.attempt is not None:
                     self._to_runner(session.attempt, data)
