Bound descriptors by what the machine allows; a fault ends one task and is answered

Checked by tests without the bench: 45 clients against 80 descriptors (set by the platform and by the machine) are served or refused, none left unanswered; 100 idle connections against 64 descriptors do not end the program.

--- a/aspensaddle/__main__.py
+++ b/aspensaddle/__main__.py
@@ -6,6 +6,8 @@
 import os
 import signal
 import sys
+import traceback
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from typing import TYPE_CHECKING
@@ -13,6 +15,7 @@
 import trio
 
 from aspensaddle.driver import Driver
+from aspensaddle.interface import ListScope
 from aspensaddle.net.clients import Clients, listen
 from aspensaddle.net.config import Config, ConfigError, Fleet, load_config
 from aspensaddle.net.counters import Counters
@@ -39,7 +42,8 @@
         self.driver = Driver(config.settings, config.seed, self)
         self.servers = Servers(self.driver, self.fleet, self.counters)
         self.discovery = Discovery(config.discovery, self.driver, self.fleet, self.counters, log)
-        self.clients = Clients(config, self.driver, self.servers, self.fleet, self.counters, log)
+        self.clients = Clients(config, self.driver, self.servers, self.fleet, self.counters, log,
+                               reserve=0 if quic is None else quic.most_paths + 1)
         self.quic: Front | None = None
         if quic is not None:
             # Only where it is on: its libraries are heavy for a platform that does without.
@@ -55,16 +59,37 @@
         async with trio.open_nursery() as self._nursery:
             self.discovery.rev = self.config.known.rev
             self.driver.start(self.fleet.take(self.config.known))
-            self._nursery.start_soon(self._timers)
-            self._nursery.start_soon(self.clients.sweep)
-            self._nursery.start_soon(self.clients.serve, listener, self._nursery)
+            self._nursery.start_soon(self._keep, self._timers)
+            self._nursery.start_soon(self._keep, self.clients.sweep)
+            self._nursery.start_soon(self._keep, self.clients.serve, listener, self._nursery)
             if self.quic is not None:
-                self._nursery.start_soon(self.quic.run)
+                self._nursery.start_soon(self._keep, self.quic.run)
             self.log.event("started", listen=self.config.listen, rev=self.config.known.rev,
                            runners=len(self.config.known.targets))
             await self._signals()
             self._nursery.cancel_scope.cancel()
 
+    async def _keep(self, task: Callable[..., Awaitable[None]], *args: object) -> None:
+        """Run a task for good: a fault of it must end neither it nor the others."""
+        while True:
+            try:
+                await task(*args)
+            except Exception as e:
+                self._fault(e)
+                await trio.sleep(0.1)
+
+    async def _once(self, task: Callable[[], Awaitable[None]]) -> None:
+        """One call to discovery: a fault of it counts as a call that failed."""
+        try:
+            await task()
+        except Exception as e:
+            self._fault(e)
+            self.driver.servers(ListScope.FAILED)
+
+    def _fault(self, e: Exception) -> None:
+        self.counters.add("faults")
+        self.log.event("fault", error=repr(e), trace="".join(traceback.format_exception(e))[-2000:])
+
     async def _signals(self) -> None:
         """Print the counters when asked; return when the process is to end and has let all clients go."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
@@ -89,13 +114,13 @@
     def watch(self, on: bool) -> None:
         assert self._nursery is not None
         if on:
-            self._nursery.start_soon(self.discovery.watch)
+            self._nursery.start_soon(self._once, self.discovery.watch)
         else:
             self.discovery.stop_watch()
 
     def fetch(self) -> None:
         assert self._nursery is not None
-        self._nursery.start_soon(self.discovery.fetch)
+        self._nursery.start_soon(self._once, self.discovery.fetch)
 
     def probe(self, server: int) -> None:
         assert self._nursery is not None
--- a/aspensaddle/net/clients.py
+++ b/aspensaddle/net/clients.py
@@ -5,6 +5,7 @@
 import errno
 import math
 import re
+import resource
 import socket
 import traceback
 from collections import deque
@@ -34,8 +35,7 @@
 GENTLE = 0.7
 NEWCOMERS = 0.45  # after SIGTERM new connections still come for this long
 MOVES_OVER = 0.6  # then the standing ones are moved, spread over this
-RESERVE = 128  # descriptors beside pairs of connections: listener, discovery, log, refusals
-HEADROOM = 24
+HEADROOM = 24  # descriptors beside connections: listener, discovery, log, signals, files read
 BACKLOG = 512
 
 _D = re.compile(rb"(?<=[ ,])d=\d+(?=[,\s]|$)")
@@ -248,21 +248,24 @@
 
 class Clients:
     def __init__(self, config: Config, driver: Driver, servers: Servers, fleet: Fleet, counters: Counters,
-                 log: Log) -> None:
+                 log: Log, reserve: int = 0) -> None:
         self.config, self.driver, self.servers, self.fleet = config, driver, servers, fleet
         self.counters, self.log = counters, log
         self.cases: dict[str, Case] = {}  # those that stand
         self.open = 0  # connections of clients
+        self.busy = 0  # those of them that may have one to a runner
         self.closing = False
-        self.pairs = (config.limits.sockets - RESERVE) // 2
-        self.most_open = config.limits.sockets - HEADROOM
+        # What the machine allows counts too, where it is less than what the platform says.
+        sockets = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - reserve
+        self.most_open = max(8, sockets - HEADROOM)
+        self.pairs = max(2, self.most_open * 4 // 9)  # the rest is for answers to who can't be kept
 
     # ------------------------------------------------------------ accepting
 
     async def serve(self, listener: trio.SocketListener, nursery: trio.Nursery) -> None:
         while True:
             # Guards against running out of descriptors: what stands takes two, a refusal takes one.
-            while self.open + len(self.cases) >= self.most_open:
+            while self.open + self.busy >= self.most_open:
                 await trio.sleep(0.01)
             try:
                 stream = await listener.accept()
@@ -283,10 +286,14 @@
             pass
         except TooLong:
             self.counters.add("lines too long")
-            await self._say(link, b"ERR\r\n")
+            with suppress(Broken):
+                await self._say(link, b"ERR\r\n")
         except Exception as e:
             self.counters.add("faults")
             self.log.event("fault", error=repr(e), trace=_trace(e))
+            if not link.answered:  # also a request that a fault has hit gets its final answer
+                with suppress(Broken):
+                    await self._say(link, b"ERR\r\n")
         finally:
             link.close()
             self.open -= 1
@@ -313,10 +320,20 @@
             await self._say(link, b"ERR\r\n")
             return
         self.counters.add("requests")
-        if opened.at is not None:
-            await self._adopt(link, opened, opened.at)
-        else:
-            await self._request(link, opened)
+        link.answered = False  # a PONG was none
+        if opened.at is None and (self.closing or self.busy >= self.pairs):
+            # A process that ends, or has no descriptors left, can't keep a connection.
+            self.counters.add("refused while closing" if self.closing else "refused: full")
+            await self._say(link, b"BUSY %d\r\n" % (1000 * NEWCOMERS))
+            return
+        self.busy += 1
+        try:
+            if opened.at is not None:
+                await self._adopt(link, opened, opened.at)
+            else:
+                await self._request(link, opened)
+        finally:
+            self.busy -= 1
 
     # ------------------------------------------------------------ the life of a request
 
@@ -324,11 +341,6 @@
         request = opened.request
         wait = min(request.time_left, self.config.settings.classes[request.cls].deadline)
         request = replace(request, time_left=wait - ANSWER_MARGIN)
-        if self.closing or len(self.cases) >= self.pairs:
-            # A process that ends, or has no descriptors left, can't keep a connection.
-            self.counters.add("refused while closing" if self.closing else "refused: full")
-            await self._say(client, b"BUSY %d\r\n" % (1000 * NEWCOMERS))
-            return
         case = Case()
         start = trio.current_time()
         up: Up | None = None
--- a/aspensaddle/net/lines.py
+++ b/aspensaddle/net/lines.py
@@ -27,6 +27,7 @@
         self.stream = stream
         self._buffer = bytearray()
         self.ended = False  # the other side has ended its sending
+        self.answered = False  # something was sent, or begun to be
 
     async def fill(self) -> bool:
         """Read some more; False at the end."""
@@ -75,6 +76,7 @@
         return len(self._buffer)
 
     async def send(self, data: bytes) -> None:
+        self.answered = True
         try:
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -168,9 +169,9 @@
     """The balancer as a process."""
 
     def __init__(self, folder: Path, discovery: tuple[str, int], known: list[dict[str, Any]],
-                 quic: str = "", **config: Any) -> None:
+                 quic: str = "", files: int = 4096, **config: Any) -> None:
         self.address = ("127.0.0.1", free_port())
-        self.folder = folder
+        self.folder, self.files = folder, files
         body = {"name": "n0", "listen": f"127.0.0.1:{self.address[1]}", "seed": "8c1f30d27a5be964",
                 "discovery": f"{discovery[0]}:{discovery[1]}", "settings": SETTINGS,
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -185,9 +186,12 @@
                    "ASPENSADDLE_QUIC": str(self.folder / "quic.toml")}
         with self.log.open("ab") as log:
             self.process = subprocess.Popen([sys.executable, "-m", "aspensaddle"], cwd=ROOT, env=environ,
-                                            stdout=log, stderr=log)
+                                            stdout=log, stderr=log, preexec_fn=self._limit)
         until(self._ready, "the program is ready")
 
+    def _limit(self) -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.files, self.files))
+
     def _ready(self) -> bool:
         assert self.process.poll() is None, self.log.read_text()
         try:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -186,9 +186,10 @@
     assert counters["counts"]["moved"] == 5
 
 
-def test_descriptors_are_bound(world):
-    w = world(limits={"sockets": 160})
-    clients = [w.client() for _ in range(40)]
+@pytest.mark.parametrize("limit", [{"limits": {"sockets": 80}}, {"files": 80}])
+def test_descriptors_are_bound(world, limit):
+    w = world(**limit)
+    clients = [w.client() for _ in range(45)]
     answers = [c.open() for c in clients]
     assert {a.split()[0] for a in answers} == {b"UP", b"BUSY"}  # refused, but none is left without
     for c in clients:
@@ -199,6 +200,17 @@
             return c.open().startswith(b"UP ")
 
     until(room, "room again")
+    counts = w.program.counts()
+    assert "faults" not in counts and "out of descriptors" not in counts
+
+
+def test_more_connections_than_descriptors_wait_their_turn(world):
+    w = world(files=64)
+    idle = [w.client() for _ in range(100)]  # no line, so no answer is owed
+    for c in idle:
+        c.close()
+    with w.client() as c:
+        assert c.open().startswith(b"UP ")
 
 
 def test_wrong_configuration_is_one_clear_line(tmp_path):
