--- a/aspensaddle/__main__.py
+++ b/aspensaddle/__main__.py
@@ -23,11 +23,15 @@
 from aspensaddle.net.log import Log
 from aspensaddle.net.quic.settings import QuicSettings, load_quic
 from aspensaddle.net.servers import Servers
+from aspensaddle.store.settings import StoreSettings, load_store
 
 if TYPE_CHECKING:
     from aspensaddle.net.quic.front import Front
+    from aspensaddle.store.feed import StoreList
+    from aspensaddle.store.replica import Replica
 
 QUIC_FILE = "deploy/quic.toml"  # ASPENSADDLE_QUIC names another
+STORE_FILE = "deploy/store.toml"  # ASPENSADDLE_STORE names another
 
 END_BEFORE = 0.4  # seconds before the platform would kill the process
 KILLED_AFTER = 0.7  # and the longest deadline
@@ -36,12 +40,19 @@
 class Daemon:
     """The services of one process for its balancer."""
 
-    def __init__(self, config: Config, quic: QuicSettings | None, log: Log) -> None:
-        self.config, self.log, self.counters = config, log, Counters()
+    def __init__(self, config: Config, quic: QuicSettings | None, log: Log, counters: Counters,
+                 replica: Replica | None = None) -> None:
+        self.config, self.log, self.counters = config, log, counters
         self.fleet = Fleet(config.zones)
         self.driver = Driver(config.settings, config.seed, self)
         self.servers = Servers(self.driver, self.fleet, self.counters)
-        self.discovery = Discovery(config.discovery, self.driver, self.fleet, self.counters, log)
+        self.list: Discovery | StoreList | None = None
+        if replica is not None and replica.settings.runners:
+            from aspensaddle.store.feed import StoreList
+            self.list = StoreList(replica, self.driver, self.fleet, self.counters, log)
+        elif config.discovery is not None:
+            self.list = Discovery(config.discovery, self.driver, self.fleet, self.counters, log)
+            self.list.rev = config.known.rev
         self.clients = Clients(config, self.driver, self.servers, self.fleet, self.counters, log,
                                reserve=0 if quic is None else quic.most_paths + 1)
         self.quic: Front | None = None
@@ -57,7 +68,6 @@
         if self.quic is not None:
             self.quic.bind()
         async with trio.open_nursery() as self._nursery:
-            self.discovery.rev = self.config.known.rev
             self.driver.start(self.fleet.take(self.config.known))
             self._nursery.start_soon(self._keep, self._timers)
             self._nursery.start_soon(self._keep, self.clients.sweep)
@@ -112,15 +122,20 @@
     # ------------------------------------------------------------ what the driver asks for
 
     def watch(self, on: bool) -> None:
-        assert self._nursery is not None
+        if self.list is None:
+            return
         if on:
-            self._nursery.start_soon(self._once, self.discovery.watch)
+            self._call(self.list.watch)
         else:
-            self.discovery.stop_watch()
+            self.list.stop_watch()
 
     def fetch(self) -> None:
+        if self.list is not None:
+            self._call(self.list.fetch)
+
+    def _call(self, call: Callable[[], Awaitable[None]]) -> None:
         assert self._nursery is not None
-        self._nursery.start_soon(self._once, self.discovery.fetch)
+        self._nursery.start_soon(self._once, call)
 
     def probe(self, server: int) -> None:
         assert self._nursery is not None
@@ -138,25 +153,59 @@
             self.driver.run_timers()
 
 
+async def serve(config: Config, quic: QuicSettings | None, store: StoreSettings | None, log: Log) -> None:
+    counters = Counters()
+    if store is None:
+        await _run(Daemon(config, quic, log, counters))
+        return
+    from aspensaddle.store.feed import stored_settings
+    from aspensaddle.store.replica import Replica
+    replica = Replica(config.name, store, counters)
+    replica.bind()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(replica.run)
+        config = await stored_settings(replica, config, log)
+        await _run(Daemon(config, quic, log, counters, replica))
+        nursery.cancel_scope.cancel()
+
+
+async def _run(daemon: Daemon) -> None:
+    try:
+        await daemon.run()
+    finally:
+        daemon.report()
+
+
+def _load() -> tuple[Config, QuicSettings | None, StoreSettings | None]:
+    config = load_config()
+    quic = load_quic(Path(os.environ.get("ASPENSADDLE_QUIC", QUIC_FILE)), config.classes)
+    store = load_store(Path(os.environ.get("ASPENSADDLE_STORE", STORE_FILE)))
+    if store is not None and config.name not in store.nodes:
+        raise ConfigError(f"{STORE_FILE}: nodes must name this daemon, {config.name}")
+    return config, quic, store
+
+
 def main() -> int:
     try:
-        config = load_config()
-        quic = load_quic(Path(os.environ.get("ASPENSADDLE_QUIC", QUIC_FILE)), config.classes)
+        config, quic, store = _load()
     except ConfigError as e:
         print(f"aspensaddle: {e}", file=sys.stderr)
         return 2
     gc.freeze()
     gc.set_threshold(50_000, 20, 50)  # few cycles arise; frequent passes only cost CPU
     log = Log(config.name)
-    daemon = Daemon(config, quic, log)
     try:
-        trio.run(daemon.run)
+        trio.run(serve, config, quic, store, log)
         return 0
     except OSError as e:
         print(f"aspensaddle: listen: {e.strerror or e}", file=sys.stderr)
         return 2
+    except BaseExceptionGroup as group:
+        if (error := group.subgroup(OSError)) is None:
+            raise
+        print(f"aspensaddle: listen: {error.exceptions[0]}", file=sys.stderr)
+        return 2
     finally:
-        daemon.report()
         log.close()
 
 
--- a/aspensaddle/net/config.py
+++ b/aspensaddle/net/config.py
@@ -4,7 +4,7 @@
 
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from hashlib import blake2b
 
 import orjson
@@ -166,7 +166,7 @@
 class Config:
     name: str
     listen: Address
-    discovery: Address
+    discovery: Address | None
     seed: int
     limits: LimitsOfProcess
     known: Update
@@ -175,28 +175,46 @@
     zones: tuple[str, ...]
 
 
-def parse_config(m: Message) -> Config:
-    raw = obj(m, "settings")
-    where = "settings."
+def _read_settings(raw: Message) -> tuple[Settings, dict[str, int], tuple[str, ...]]:
     try:
         settings = parse_settings(raw)
         lanes = [as_object(lane, "lanes") for lane in array(raw, "lanes")]
         classes = {text(lane, "name"): i for i, lane in enumerate(lanes)}
-        zones = tuple(str(z) for z in array(raw, "failure-domains", []))
-        where = "limits."
-        bounds = obj(m, "limits", {})
-        limits = LimitsOfProcess(number(bounds, "cores", 1.0), integer(bounds, "memory_mb", 192),
-                                 integer(bounds, "sockets", 1024))
-        if limits.sockets < 64:
-            raise DecodeError(f"sockets must be 64 at least, not {limits.sockets}")
+        return settings, classes, tuple(str(z) for z in array(raw, "failure-domains", []))
+    except (DecodeError, ValueError) as e:
+        raise DecodeError(f"settings.{e}") from None
+
+
+def _read_limits(m: Message) -> LimitsOfProcess:
+    limits = LimitsOfProcess(
+        number(m, "cores", 1.0), integer(m, "memory_mb", 192), integer(m, "sockets", 1024))
+    if limits.sockets < 64:
+        raise DecodeError(f"sockets must be 64 at least, not {limits.sockets}")
+    return limits
+
+
+def with_settings(config: Config, raw: Message) -> Config:
+    """The same configuration with other settings."""
+    settings, classes, zones = _read_settings(raw)
+    return replace(config, settings=settings, classes=classes, zones=zones)
+
+
+def parse_config(m: Message) -> Config:
+    settings, classes, zones = _read_settings(obj(m, "settings"))
+    where = "limits."
+    try:
+        limits = _read_limits(obj(m, "limits", {}))
         where = "known."
         known = parse_update(obj(m, "known", {}))
-    except (DecodeError, ValueError) as e:
+    except DecodeError as e:
         raise DecodeError(f"{where}{e}") from None
+    if m.get("discovery") is None and not settings.ask_discovery:
+        discovery = None  # the list is the one that is known
+    else:
+        discovery = parse_address(text(m, "discovery"), "discovery")
     return Config(
-        text(m, "name"), parse_address(text(m, "listen"), "listen"),
-        parse_address(text(m, "discovery"), "discovery"), stable_hash(str(m.get("seed", "")), 53),
-        limits, known, settings, classes, zones,
+        text(m, "name"), parse_address(text(m, "listen"), "listen"), discovery,
+        stable_hash(str(m.get("seed", "")), 53), limits, known, settings, classes, zones,
     )
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -169,7 +169,7 @@
     """The balancer as a process."""
 
     def __init__(self, folder: Path, discovery: tuple[str, int], known: list[dict[str, Any]],
-                 quic: str = "", files: int = 4096, **config: Any) -> None:
+                 quic: str = "", store: str = "", files: int = 4096, **config: Any) -> None:
         self.address = ("127.0.0.1", free_port())
         self.folder, self.files = folder, files
         body = {"name": "n0", "listen": f"127.0.0.1:{self.address[1]}", "seed": "8c1f30d27a5be964",
@@ -178,12 +178,14 @@
                 "known": {"rev": 1, "all": True, "targets": known}, **config}
         (folder / "config.json").write_text(json.dumps(body))
         (folder / "quic.toml").write_text(quic or "enabled = false\n")
+        (folder / "store.toml").write_text(store or "enabled = false\n")
         self.log = folder / "log"
         self.start()
 
     def start(self) -> None:
         environ = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"),
-                   "ASPENSADDLE_QUIC": str(self.folder / "quic.toml")}
+                   "ASPENSADDLE_QUIC": str(self.folder / "quic.toml"),
+                   "ASPENSADDLE_STORE": str(self.folder / "store.toml")}
         with self.log.open("ab") as log:
             self.process = subprocess.Popen([sys.executable, "-m", "aspensaddle"], cwd=ROOT, env=environ,
                                             stdout=log, stderr=log, preexec_fn=self._limit)
