--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -61,12 +61,18 @@
     assert counts["answers UP"] == counts["attempts up"] == counts["ended ok"] == 1
 
 
-@pytest.mark.parametrize("answer", [b"BUSY\r\n", b"ERR\r\n", b"MOVE\r\n", b"\xff\r\n", b"x" * 5000])
-def test_an_attempt_that_fails_is_tried_elsewhere_after_it_has_ended(world, answer):
+@pytest.mark.parametrize(("answer", "outcome"), [
+    (b"BUSY\r\n", "full"), (b"ERR\r\n", "error"), (b"MOVE\r\n", "cancelled"), (b"\xff\r\n", "error"),
+    (b"x" * 5000, "broken"), (b"half", "broken"), (b"LOAD 5\r\nBUSY\r\n", "full"),
+])
+def test_an_attempt_that_fails_is_told_as_what_it_was_and_tried_elsewhere(world, answer, outcome):
     w = world(answer, b"UP r\r\n")
     for _ in range(4):
         with w.client() as c:
             assert c.open() == b"UP s-1\r\n"
+    counts = w.program.counts()
+    assert counts[f"attempts {outcome}"] == len(w.runners[0].first_lines) >= 1
+    assert counts["attempts"] == counts["attempts up"] + counts[f"attempts {outcome}"]
 
 
 def test_a_runner_that_is_down_is_not_the_end(world):
@@ -75,6 +81,26 @@
     for _ in range(4):
         with w.client() as c:
             assert c.open() == b"UP s-1\r\n"
+    assert w.program.counts()["attempts unreachable"] >= 1
+
+
+def test_a_connection_that_never_comes_up_is_given_up_by_the_connect_time_out(world):
+    w = world()
+    w.runners[0].close()
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+        # A queue that is full drops what knocks, as a machine that has vanished would.
+        held = [socket.socket() for _ in range(4)]
+        for s in held:
+            s.setblocking(False)
+            s.connect_ex(full.getsockname())
+        w.discovery.change(w.runners[0].target(endpoint=f"127.0.0.1:{full.getsockname()[1]}"))
+        until(lambda: w.discovery.watches and any(e["rev"] == 2 for e in w.program.events("list")), "the change")
+        for _ in range(4):
+            with w.client() as c:
+                assert c.open() == b"UP s-1\r\n"
+        assert w.program.counts()["attempts unreachable"] >= 1
+        for s in held:
+            s.close()
 
 
 def test_what_no_runner_takes_is_refused_once_and_at_once(world):
@@ -93,6 +119,7 @@
         start = time.monotonic()
         assert c.open("c=test-run,d=600").startswith(b"BUSY ")
         assert time.monotonic() - start > 0.3  # it was waited for
+    assert w.program.counts()["attempts timed out"] == 1
 
 
 @pytest.mark.parametrize("line", [b"\r\n", b"GET / HTTP/1.1\r\n", b"OPEN\r\n", b"OPEN a b c=nope\r\n",
