--- a/tests/test_quic_front.py
+++ b/tests/test_quic_front.py
@@ -213,6 +213,15 @@
     assert s.runners[1].begun < 6 <= s.runners[0].begun
 
 
+def test_sessions_outlive_the_balancer_s_planned_restart_unmoved(setup):
+    s = setup("ok", "ok")
+    clients = s.ready(3)
+    homes = [s.ask(c) for c in clients]
+    assert s.program.terminate() == 0
+    s.program.start()
+    assert [s.ask(c) for c in clients] == homes and not any(c.reset or c.ended for c in clients)
+
+
 def test_sessions_that_fall_silent_end(setup):
     s = setup("ok", idle=1)
     s.ready()
