SIGHUP reloads the configuration whole and moves discovery at once

Checked: /proc/PID/status showed no handler for the signal; /proc/PID/environ showed LB_DISCOVERY repeating the file's first address, so that variable, taken as an override, would have kept the program at the old address for ever. At fault: __main__._signals (no SIGHUP) and load_config (any variable wins). Ruled out: the receiver being late; it is in place, and the signal blocked, before the listener is.

--- a/aspensaddle/__main__.py
+++ b/aspensaddle/__main__.py
@@ -7,9 +7,9 @@
 import signal
 import sys
 import traceback
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
-
 from typing import TYPE_CHECKING
 
 import trio
@@ -17,11 +17,12 @@
 from aspensaddle.driver import Driver
 from aspensaddle.interface import ListScope
 from aspensaddle.net.clients import Clients, listen
-from aspensaddle.net.config import Config, ConfigError, Fleet, load_config
+from aspensaddle.net.config import Config, ConfigError, ConfigSource, Fleet
 from aspensaddle.net.counters import Counters
 from aspensaddle.net.discovery import Discovery
 from aspensaddle.net.log import Log
 from aspensaddle.net.quic.settings import QuicSettings, load_quic
+from aspensaddle.net.reload import Reload
 from aspensaddle.net.servers import Servers
 from aspensaddle.store.settings import StoreSettings, load_store
 
@@ -35,13 +36,14 @@
 
 END_BEFORE = 0.4  # seconds before the platform would kill the process
 KILLED_AFTER = 0.7  # and the longest deadline
+SIGNALS = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
 
 
 class Daemon:
     """The services of one process for its balancer."""
 
-    def __init__(self, config: Config, quic: QuicSettings | None, log: Log, counters: Counters,
-                 replica: Replica | None = None) -> None:
+    def __init__(self, source: ConfigSource, config: Config, quic: QuicSettings | None, log: Log,
+                 counters: Counters, replica: Replica | None = None) -> None:
         self.config, self.log, self.counters = config, log, counters
         self.fleet = Fleet(config.zones)
         self.driver = Driver(config.settings, config.seed, self)
@@ -60,10 +62,17 @@
             # Only where it is on: its libraries are heavy for a platform that does without.
             from aspensaddle.net.quic.front import Front
             self.quic = Front(quic, self.driver, self.fleet, self.counters, log)
+        self.reload = Reload(source, config, self._swap, counters, log, replica)
         self._timer = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
+        with trio.open_signal_receiver(*SIGNALS) as signals:
+            # Before anybody is answered; what came while the program started is received now.
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])
+            await self._run(signals)
+
+    async def _run(self, signals: AsyncIterator[int]) -> None:
         listener = listen(self.config.listen)
         if self.quic is not None:
             self.quic.bind()
@@ -76,8 +85,7 @@
                 self._nursery.start_soon(self._keep, self.quic.run)
             self.log.event("started", listen=self.config.listen, rev=self.config.known.rev,
                            runners=len(self.config.known.targets))
-            await self._signals()
-            self._nursery.cancel_scope.cancel()
+            await self._signals(signals)
 
     async def _keep(self, task: Callable[..., Awaitable[None]], *args: object) -> None:
         """Run a task for good: a fault of it must end neither it nor the others."""
@@ -100,20 +108,47 @@
         self.counters.add("faults")
         self.log.event("fault", error=repr(e), trace="".join(traceback.format_exception(e))[-2000:])
 
-    async def _signals(self) -> None:
-        """Print the counters when asked; return when the process is to end and has let all clients go."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
-            async for number in signals:
-                if number == signal.SIGUSR1:
-                    self.report()
-                    continue
-                if self.quic is not None:
-                    self.quic.closing = True
-                self.log.event("stopping", standing=len(self.clients.cases))
-                longest = max(c.deadline for c in self.config.settings.classes)
-                with trio.move_on_after(min(3.0, longest) + KILLED_AFTER - END_BEFORE):
-                    await self.clients.drain()
-                return
+    async def _signals(self, signals: AsyncIterator[int]) -> None:
+        """Carry out each signal as it comes, also while the process lets its clients go."""
+        assert self._nursery is not None
+        async for number in signals:
+            if number == signal.SIGUSR1:
+                self.report()
+            elif number == signal.SIGHUP:
+                try:
+                    self.reload.run()
+                except Exception as e:
+                    self._fault(e)
+            elif not self.clients.closing:
+                self.clients.closing = True
+                self._nursery.start_soon(self._end)
+
+    async def _end(self) -> None:
+        """Let all clients go, then end the process, in time before the platform would kill it."""
+        assert self._nursery is not None
+        if self.quic is not None:
+            self.quic.closing = True
+        self.log.event("stopping", standing=len(self.clients.cases))
+        longest = max(c.deadline for c in self.config.settings.classes)
+        try:
+            with trio.move_on_after(min(3.0, longest) + KILLED_AFTER - END_BEFORE):
+                await self.clients.drain()
+        except Exception as e:
+            self._fault(e)
+        self._nursery.cancel_scope.cancel()
+
+    def _swap(self, config: Config) -> None:
+        """Put a configuration that was read anew in force, part by part. Nothing that stands is touched."""
+        old, self.config = self.config, config
+        self.driver.configure(config.settings)
+        self.clients.configure(config)
+        if isinstance(self.list, Discovery) and config.discovery is not None \
+                and config.discovery != old.discovery:
+            self.list.move(config.discovery)
+            if config.settings.ask_discovery and not self.list.watching:
+                self._call(self.list.watch)
+        if self.list is None and config.known != old.known:
+            self.driver.servers(ListScope.FULL, self.fleet.take(replace(config.known, full=True)))
 
     def report(self) -> None:
         self.log.event("counters", standing=len(self.clients.cases), open=self.clients.open,
@@ -153,10 +188,11 @@
             self.driver.run_timers()
 
 
-async def serve(config: Config, quic: QuicSettings | None, store: StoreSettings | None, log: Log) -> None:
+async def serve(source: ConfigSource, config: Config, quic: QuicSettings | None, store: StoreSettings | None,
+                log: Log) -> None:
     counters = Counters()
     if store is None:
-        await _run(Daemon(config, quic, log, counters))
+        await _run(Daemon(source, config, quic, log, counters))
         return
     from aspensaddle.store.feed import stored_settings
     from aspensaddle.store.replica import Replica
@@ -165,7 +201,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(replica.run)
         config = await stored_settings(replica, config, log)
-        await _run(Daemon(config, quic, log, counters, replica))
+        await _run(Daemon(source, config, quic, log, counters, replica))
         nursery.cancel_scope.cancel()
 
 
@@ -176,8 +212,8 @@
         daemon.report()
 
 
-def _load() -> tuple[Config, QuicSettings | None, StoreSettings | None]:
-    config = load_config()
+def _load(source: ConfigSource) -> tuple[Config, QuicSettings | None, StoreSettings | None]:
+    config = source.read()
     quic = load_quic(Path(os.environ.get("ASPENSADDLE_QUIC", QUIC_FILE)), config.classes)
     store = load_store(Path(os.environ.get("ASPENSADDLE_STORE", STORE_FILE)))
     if store is not None and config.name not in store.nodes:
@@ -186,8 +222,11 @@
 
 
 def main() -> int:
+    # Guards against a SIGHUP before its receiver is in place: it waits instead of ending the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
+    source = ConfigSource()
     try:
-        config, quic, store = _load()
+        config, quic, store = _load(source)
     except ConfigError as e:
         print(f"aspensaddle: {e}", file=sys.stderr)
         return 2
@@ -195,7 +234,7 @@
     gc.set_threshold(50_000, 20, 50)  # few cycles arise; frequent passes only cost CPU
     log = Log(config.name)
     try:
-        trio.run(serve, config, quic, store, log)
+        trio.run(serve, source, config, quic, store, log)
         return 0
     except OSError as e:
         print(f"aspensaddle: listen: {e.strerror or e}", file=sys.stderr)
--- a/aspensaddle/balance.py
+++ b/aspensaddle/balance.py
@@ -90,7 +90,7 @@
     """Decides for one balancer. `handle` takes the time and an event and returns the actions to carry out."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings, self.rules, self.limits = settings, settings.rules, settings.limits
+        self.configure(settings)
         self.random, self.ask_failures = Random(seed), 0
         self.servers: dict[int, _Server] = {}
         self.requests: dict[str, _Request] = {}
@@ -101,13 +101,17 @@
         self.dirty, self.raised = True, 0.0  # the plan is out of date; what each ratio has gained since
         self.mean, self.measures = 1.0, 0  # load of a connection
         self.held = self.typical = self.pressure = 0.0  # load carried in all; by a server; part of them slow
-        self.message_aim = max(1e-3, min(c.message_aim for c in settings.classes))
         self.handlers: dict[type, Callable[..., list[api.Action] | None]] = {
             api.Started: self._started, api.TimerFired: self._timer_fired, api.Ended: self._ended,
             api.ServersChanged: self._servers_changed, api.Request: self._request, api.Adopted: self._adopted,
             api.Established: self._established, api.LoadNote: self._load_note,
             api.DelayNote: self._delay_note, api.ClientGone: self._client_gone}
 
+    def configure(self, settings: api.Settings) -> None:
+        """Take settings, at the start or later. Classes and zones keep the numbers that they have."""
+        self.settings, self.rules, self.limits = settings, settings.rules, settings.limits
+        self.message_aim = max(1e-3, min(c.message_aim for c in settings.classes))
+
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         return (self.handlers.get(type(event)) or (lambda *_: None))(now, event) or []
 
--- a/aspensaddle/driver.py
+++ b/aspensaddle/driver.py
@@ -84,6 +84,12 @@
         self._delays: dict[int, _Delays] = {}
         self._slow = SLOW_PART * min(c.message_aim for c in settings.classes)
 
+    def configure(self, settings: api.Settings) -> None:
+        """Other settings from now on; what is known and in hand stays."""
+        self.settings = settings
+        self.balancer.configure(settings)
+        self._slow = SLOW_PART * min(c.message_aim for c in settings.classes)
+
     # ------------------------------------------------------------ time
 
     def now(self) -> float:
--- a/aspensaddle/net/clients.py
+++ b/aspensaddle/net/clients.py
@@ -250,14 +250,20 @@
 class Clients:
     def __init__(self, config: Config, driver: Driver, servers: Servers, fleet: Fleet, counters: Counters,
                  log: Log, reserve: int = 0) -> None:
-        self.config, self.driver, self.servers, self.fleet = config, driver, servers, fleet
+        self.driver, self.servers, self.fleet = driver, servers, fleet
         self.counters, self.log = counters, log
         self.cases: dict[str, Case] = {}  # those that stand
         self.open = 0  # connections of clients
         self.busy = 0  # those of them that may have one to a runner
         self.closing = False
+        self._reserve = reserve
+        self.configure(config)
+
+    def configure(self, config: Config) -> None:
+        """Other settings and limits for those who come from now on."""
+        self.config = config
         # What the machine allows counts too, where it is less than what the platform says.
-        sockets = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - reserve
+        sockets = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - self._reserve
         self.most_open = max(8, sockets - HEADROOM)
         self.pairs = max(2, self.most_open * 4 // 9)  # the rest is for answers to who can't be kept
 
--- a/aspensaddle/net/config.py
+++ b/aspensaddle/net/config.py
@@ -234,19 +234,39 @@
         raise ConfigError(f"{path}: {e}") from None
 
 
+class ConfigSource:
+    """The file that `LB_CONFIG` names, read as often as asked, and the variables that win over it.
+
+    The platform's variables repeat the file as it is at the start, and a process can't be given others later.
+    One that said the same as the file overrides nothing: what the file says by now holds. Guards against a
+    reload that never moves to the address in the new file. One that differed from the file at the start is an
+    operator's own word and wins for good.
+    """
+
+    def __init__(self, environ: Mapping[str, str] = os.environ) -> None:
+        self._environ = environ
+        self._overrides: dict[str, str] | None = None
+
+    def read(self) -> Config:
+        path = self._environ.get("LB_CONFIG")
+        if not path:
+            raise ConfigError("LB_CONFIG is not set: it names the configuration file")
+        try:
+            with open(path, "rb") as file:
+                m = load_json(file.read())
+            overrides = self._overrides
+            if overrides is None:
+                said = {n: self._environ.get(f"LB_{n.upper()}") for n in ("name", "listen", "discovery")}
+                overrides = {n: value for n, value in said.items() if value and value != m.get(n)}
+            config = parse_config({**m, **overrides})
+        except OSError as e:
+            raise ConfigError(f"LB_CONFIG: {path}: {e.strerror}") from None
+        except DecodeError as e:
+            raise ConfigError(f"{path}: {e}") from None
+        self._overrides = overrides
+        return config
+
+
 def load_config(environ: Mapping[str, str] = os.environ) -> Config:
-    """The configuration in the file that `LB_CONFIG` names; the other variables say the same and win."""
-    path = environ.get("LB_CONFIG")
-    if not path:
-        raise ConfigError("LB_CONFIG is not set: it names the configuration file")
-    try:
-        with open(path, "rb") as file:
-            m = load_json(file.read())
-        for name in ("name", "listen", "discovery"):
-            if value := environ.get(f"LB_{name.upper()}"):
-                m[name] = value
-        return parse_config(m)
-    except OSError as e:
-        raise ConfigError(f"LB_CONFIG: {path}: {e.strerror}") from None
-    except DecodeError as e:
-        raise ConfigError(f"{path}: {e}") from None
+    """The configuration as at a start."""
+    return ConfigSource(environ).read()
--- a/aspensaddle/net/discovery.py
+++ b/aspensaddle/net/discovery.py
@@ -21,6 +21,7 @@
 ANSWER_WITHIN = 4.0  # a call waits its turn
 SILENT = 3.0  # an empty line comes every 2 s
 MOST = 1 << 20  # bytes of one list at most
+ARRIVE_WITHIN, ARRIVE_AGAIN = 3.0, 0.2  # for the first answer at a new address, which may come up late
 
 
 class DiscoveryError(Exception):
@@ -34,28 +35,62 @@
         self.address, self.driver, self.fleet = address, driver, fleet
         self.counters, self.log = counters, log
         self.rev = 0
-        self._watching = trio.CancelScope()
+        self.watching = False
+        self._off = trio.CancelScope()  # ends the watch
+        self._out = trio.CancelScope()  # ends the call that the watch has out
+        self._moves, self._arrived = 0, 0  # to new addresses, and how many of them have answered
+
+    def move(self, address: Address) -> None:
+        """Ask at another address from now on. A call that is out at the old one, where it could wait for its
+        end or in vain, is dropped; the watch goes on at the new one. Where none is on, one has to be begun:
+        a back-off that the old address has earned is none of the new one's."""
+        self.address = address
+        self._moves += 1
+        self._out.cancel()
 
     async def watch(self) -> None:
-        """One watch until it ends, which is told as a failure: the balancer says when to ask again."""
-        self._watching.cancel()  # one watch at a time
-        with trio.CancelScope() as self._watching:
-            await self._call(f"{PATH}?watch=1&from={self.rev}", SILENT)
-            self.driver.servers(ListScope.FAILED)
+        """One watch until it ends, which is told as a failure: the balancer says when to ask again. One that
+        is on already is kept, as it is what is asked for."""
+        if self.watching:
+            return
+        self.watching = True
+        try:
+            with trio.CancelScope() as self._off:
+                moves = -1
+                while moves != self._moves:  # it moved while the call was out
+                    moves = self._moves
+                    with trio.CancelScope() as self._out:
+                        await self._watch_from(moves)
+                self.driver.servers(ListScope.FAILED)
+        finally:
+            self.watching = False
+
+    async def _watch_from(self, moves: int) -> None:
+        """A watch from the last version on. At an address that is new its failure is not yet told: guards
+        against a back-off while the new place comes up, or does not know the version."""
+        stop = trio.current_time() + ARRIVE_WITHIN
+        while True:
+            await self._call(f"{PATH}?watch=1&from={self.rev}", SILENT, moves)
+            if self._arrived == moves or trio.current_time() > stop:
+                return
+            await self._call(PATH, ANSWER_WITHIN)
+            await trio.sleep(ARRIVE_AGAIN)
 
     def stop_watch(self) -> None:
-        self._watching.cancel()
+        self._off.cancel()
 
     async def fetch(self) -> None:
         """The whole list once."""
         if not await self._call(PATH, ANSWER_WITHIN):
             self.driver.servers(ListScope.FAILED)
 
-    async def _call(self, target: str, silent: float) -> bool:
+    async def _call(self, target: str, silent: float, moves: int | None = None) -> bool:
         self.counters.add("discovery calls")
         try:
             async with aclosing(self._lines(target, silent)) as lines:
                 async for line in lines:
+                    if moves is not None:
+                        self._arrived = moves
                     if line.strip():
                         self._take(parse_update(load_json(line)))
             self.log.event("discovery ended", target=target)
--- a/aspensaddle/net/quic/front.py
+++ b/aspensaddle/net/quic/front.py
@@ -153,7 +153,6 @@
         self.counters, self.log = counters, log
         self.ids = Ids(settings.ids, settings.reset_key)
         self.uids = {server_id: uid for uid, server_id in settings.runners.items()}
-        self.reply_within = settings.reply_within_s or driver.settings.limits.connect_timeout
         self.sessions: dict[str, Session] = {}
         self.pending = 0  # sessions that are being placed
         self.paths: OrderedDict[tuple[Peer, int], Path] = OrderedDict()
@@ -387,7 +386,8 @@
         path.used = trio.current_time()
         for data in session.waiting:
             self._to_runner(path, data)
-        with trio.move_on_after(min(send.timeout, self.reply_within)):
+        reply_within = self.settings.reply_within_s or self.driver.settings.limits.connect_timeout
+        with trio.move_on_after(min(send.timeout, reply_within)):
             await session.wait(lambda: session.outcome is not None)
         outcome, session.attempt = session.outcome or Outcome.TIMED_OUT, None
         self.counters.add(f"quic attempts {outcome.label}")
--- /dev/null
+++ b/aspensaddle/net/reload.py
@@ -0,0 +1,69 @@
+"""New configurations while the program runs.
+
+At SIGHUP the file is read and validated whole beside the one in force. One that can't be used changes
+nothing. What a running process can't change keeps its old value and is named in the log.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from aspensaddle.net.config import Config, ConfigError, ConfigSource
+from aspensaddle.net.counters import Counters
+from aspensaddle.net.log import Log
+
+if TYPE_CHECKING:
+    from aspensaddle.store.replica import Replica
+
+# What the process, or the numbers of all that it has in hand, are made of.
+FIXED = ("name", "listen", "seed", "zones")
+FIXED_SETTINGS = ("zone", "zones", "index", "ask_discovery", "pass_through")
+
+
+class Reload:
+    """Owns the configuration in force; `swap` puts another into the parts that use it."""
+
+    def __init__(self, source: ConfigSource, config: Config, swap: Callable[[Config], None],
+                 counters: Counters, log: Log, replica: Replica | None = None) -> None:
+        self._source, self.config, self._swap = source, config, swap
+        self._counters, self._log, self._replica = counters, log, replica
+
+    def run(self) -> None:
+        self._counters.add("reloads")
+        try:
+            config, kept = self._fit(self._read())
+        except ConfigError as e:
+            self._counters.add("reloads refused")
+            self._log.event("reload refused", why=str(e))
+            return
+        changed = [n for n in ("discovery", "limits", "known", "settings")
+                   if getattr(config, n) != getattr(self.config, n)]
+        self._swap(config)
+        self.config = config
+        self._log.event("reloaded", changed=changed, needs_restart=kept, discovery=config.discovery)
+
+    def _read(self) -> Config:
+        config = self._source.read()
+        if self._replica is not None:
+            from aspensaddle.store.feed import with_stored
+            config = with_stored(self._replica, config, self._log)
+        return config
+
+    def _fit(self, new: Config) -> tuple[Config, list[str]]:
+        """The new configuration as far as it can be put in force, and the fields that need a restart."""
+        old = self.config
+        # Requests in hand, and the QUIC front, know a class by its number.
+        if list(new.classes.items())[:len(old.classes)] != list(old.classes.items()):
+            raise ConfigError(f"settings.lanes: must begin with {', '.join(old.classes)}; "
+                              "only a restart can remove or reorder them")
+        kept = [n for n in FIXED if getattr(new, n) != getattr(old, n)]
+        kept += [f"settings.{n}" for n in FIXED_SETTINGS
+                 if getattr(new.settings, n) != getattr(old.settings, n)]
+        settings = replace(new.settings, **{n: getattr(old.settings, n) for n in FIXED_SETTINGS})
+        new = replace(new, settings=settings, **{n: getattr(old, n) for n in FIXED})
+        if (new.discovery is None) != (old.discovery is None):
+            kept.append("discovery")
+            new = replace(new, discovery=old.discovery)
+        return new, kept
--- a/aspensaddle/net/servers.py
+++ b/aspensaddle/net/servers.py
@@ -50,7 +50,6 @@
 class Servers:
     def __init__(self, driver: Driver, fleet: Fleet, counters: Counters) -> None:
         self.driver, self.fleet, self.counters = driver, fleet, counters
-        self.connect_within = driver.settings.limits.connect_timeout
 
     async def attempt(self, server: int, first: FirstLine, within: float,
                       adopt: bool = False) -> Up | Failed:
@@ -83,7 +82,7 @@
         if address is None:
             return Outcome.VOID  # left the list since it was chosen
         try:
-            stop = trio.current_time() + self.connect_within
+            stop = trio.current_time() + self.driver.settings.limits.connect_timeout
             with trio.move_on_at(stop):
                 return Link(await connect(address))
         except OSError as e:
--- a/aspensaddle/store/feed.py
+++ b/aspensaddle/store/feed.py
@@ -38,6 +38,11 @@
     with trio.move_on_after(FIRST_WITHIN):
         while not replica.agreed and replica.state.get(SETTINGS) is None:
             await trio.sleep(0.02)
+    return with_stored(replica, config, log)
+
+
+def with_stored(replica: Replica, config: Config, log: Log) -> Config:
+    """The same from what the store holds now, without a wait."""
     if (value := replica.state.get(SETTINGS)) is None:
         return config
     try:
@@ -62,7 +67,7 @@
         if any(e.key.startswith(RUNNERS) for e in entries):
             self._changed.set()
         if any(e.key == SETTINGS for e in entries):
-            self.log.event("stored settings changed", note="in force from the next start")
+            self.log.event("stored settings changed", note="in force from the next start or reload")
 
     async def watch(self) -> None:
         self._watching.cancel()  # one watch at a time
