Connections without a valid OPEN get a share and a bounded stay of their own

Usual clients timed out (p50 to an answer up to 14 s), 231 to 238 of 916 bad clients left with no word, 506 of 516 descriptors held. Checked with a probe that printed first lines: 954 connections never sent a whole one and held most_open for 10 s each, so Clients.serve stopped accepting; each PING began the wait anew; OPENs with an empty d passed the parser and every runner answered them ERR (30 such, 180 attempts). Ruled out: CPU (2.4 s of 24) and memory (21 of 80 MB).

--- a/aspensaddle/__main__.py
+++ b/aspensaddle/__main__.py
@@ -151,7 +151,7 @@
             self.driver.servers(ListScope.FULL, self.fleet.take(replace(config.known, full=True)))
 
     def report(self) -> None:
-        self.log.event("counters", standing=len(self.clients.cases), open=self.clients.open,
+        self.log.event("counters", standing=len(self.clients.cases), open=self.clients.admission.open,
                        log_dropped=self.log.dropped, counts=self.counters.report())
 
     # ------------------------------------------------------------ what the driver asks for
--- a/aspensaddle/net/clients.py
+++ b/aspensaddle/net/clients.py
@@ -5,7 +5,6 @@
 import errno
 import math
 import re
-import resource
 import socket
 import traceback
 from collections import deque
@@ -17,6 +16,7 @@
 
 from aspensaddle.driver import Driver, RequestAction
 from aspensaddle.interface import Cancel, Fail, Move, Outcome, Refuse, Request, Send
+from aspensaddle.net.admission import Admission, Guest
 from aspensaddle.net.config import Address, Config, Fleet, stable_hash
 from aspensaddle.net.counters import Counters
 from aspensaddle.net.lines import LINE, Broken, Link, TooLong
@@ -24,7 +24,7 @@
 from aspensaddle.net.servers import Failed, Servers, Up, first_word
 
 ANSWER_MARGIN = 0.03  # of the client's wait: its line's way here, and the answer's way back
-FIRST_LINE_WITHIN = 10.0
+PINGS = 16  # ahead of an OPEN, at most
 ADOPT_WITHIN = 38.0
 ADOPT_AGAIN = 0.5
 SILENT = 4.5  # a line's wait after which the runner is held to be cut off; 7 s is the rule
@@ -35,11 +35,13 @@
 GENTLE = 0.7
 NEWCOMERS = 0.45  # after SIGTERM new connections still come for this long
 MOVES_OVER = 0.6  # then the standing ones are moved, spread over this
-HEADROOM = 24  # descriptors beside connections: listener, discovery, log, signals, files read
 BACKLOG = 512
+COMMANDS = (b"OPEN", b"PING", b"STATS")  # a client sends one and waits
 NO_ECHO = (b"UP", b"BYE", b"MOVE")  # a runner's own words; any other line is a client's that comes back
 
 _D = re.compile(rb"(?<=[ ,])d=\d+(?=[,\s]|$)")
+_WORD = re.compile(r"[!-~]{1,128}")
+_NUMBER = re.compile(r"\d{1,12}(\.\d{1,12})?([eE][+-]?\d{1,2})?")
 
 
 class BadOpen(Exception):
@@ -64,28 +66,26 @@
         word, id, key, *rest = line.decode("ascii").rstrip("\r\n").split(" ")
     except (ValueError, UnicodeDecodeError):
         raise BadOpen("not OPEN ID KEY NAME=VALUE,..") from None
-    if word != "OPEN" or not id or not key or len(rest) != 1:
+    if word != "OPEN" or not _WORD.fullmatch(id) or not _WORD.fullmatch(key) or len(rest) != 1:
         raise BadOpen("not OPEN ID KEY NAME=VALUE,..")
     values: dict[str, str] = {}
     for item in rest[0].split(","):
         name, equals, value = item.partition("=")
-        if not name or not equals or name in values:
+        if not name or not equals or name in values or not item.isprintable():
             raise BadOpen(f"not NAME=VALUE: {item:.40}")
         values[name] = value
     cls = classes.get(values.get("c", ""))
     if cls is None:
         raise BadOpen("c names no class")
-    wait, hint = values.get("d", ""), values.get("h")
-    if wait and (not wait.isdigit() or len(wait) > 9):
+    wait, hint = values.get("d"), values.get("h")
+    # An empty d too: guards against a line whose d can't be written anew, which every runner answers ERR.
+    if wait is None and "at" not in values or wait is not None and (not wait.isdigit() or len(wait) > 9):
         raise BadOpen("d is not a number of milliseconds")
     load = None
     if hint is not None:
-        try:
-            load = float(hint)
-        except ValueError:
-            raise BadOpen("h is not a number") from None
-        if not 0 <= load < 1e9:
-            raise BadOpen("h is out of range")
+        if not _NUMBER.fullmatch(hint) or float(hint) >= 1e9:
+            raise BadOpen("h is not a number in range")
+        load = float(hint)
     request = Request(
         id, cls, int(wait) / 1000 if wait else math.inf, key=stable_hash(key, 53), load=load,
         group=stable_hash(values["g"], 53) if groups and "g" in values else None,
@@ -103,6 +103,7 @@
         self.attempt = trio.CancelScope()
         self.relay: Relay | None = None
         self.move_asked = False
+        self.unruly = False  # its client has not waited for its answer
 
     def act(self, action: RequestAction) -> None:
         match action:
@@ -158,18 +159,18 @@
         """True where the client is to be moved."""
         with self._scope:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._guard, self._from_client)
-                nursery.start_soon(self._guard, self._from_runner, said)
+                nursery.start_soon(self._guard, Outcome.CANCELLED, self._from_client)
+                nursery.start_soon(self._guard, Outcome.BROKEN, self._from_runner, said)
         return self._stopped
 
-    async def _guard(self, pump: Callable[..., Awaitable[None]], *args: bytes) -> None:
+    async def _guard(self, too_long: Outcome, pump: Callable[..., Awaitable[None]], *args: bytes) -> None:
         try:
             await pump(*args)
         except Broken:
             self.reset = True
             self._scope.cancel()
         except TooLong:
-            self.outcome = Outcome.BROKEN
+            self.outcome = too_long  # a client's endless line says nothing against its runner
             self._scope.cancel()
 
     async def _from_client(self) -> None:
@@ -253,31 +254,24 @@
         self.driver, self.servers, self.fleet = driver, servers, fleet
         self.counters, self.log = counters, log
         self.cases: dict[str, Case] = {}  # those that stand
-        self.open = 0  # connections of clients
-        self.busy = 0  # those of them that may have one to a runner
         self.closing = False
-        self._reserve = reserve
-        self.configure(config)
+        self.config = config
+        self.admission = Admission(counters, config.limits.sockets, reserve)
 
     def configure(self, config: Config) -> None:
         """Other settings and limits for those who come from now on."""
         self.config = config
-        # What the machine allows counts too, where it is less than what the platform says.
-        sockets = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - self._reserve
-        self.most_open = max(8, sockets - HEADROOM)
-        self.pairs = max(2, self.most_open * 4 // 9)  # the rest is for answers to who can't be kept
+        self.admission.configure(config.limits.sockets)
 
     # ------------------------------------------------------------ accepting
 
     async def serve(self, listener: trio.SocketListener, nursery: trio.Nursery) -> None:
         while True:
-            # Guards against running out of descriptors: what stands takes two, a refusal takes one.
-            while self.open + self.busy >= self.most_open:
-                await trio.sleep(0.01)
             try:
                 stream = await listener.accept()
             except OSError as e:
                 self.counters.add(f"accept {errno.errorcode.get(e.errno or 0, 'failed')}")
+                self.admission.shed_oldest()
                 await trio.sleep(0.02)
                 continue
             self.counters.add("connections")
@@ -285,66 +279,73 @@
 
     async def _client(self, stream: trio.SocketStream) -> None:
         """One connection. A fault of this program ends it and no other."""
-        self.open += 1
         link = Link(stream)
-        try:
-            await self._first(link)
-        except Broken:
-            pass
-        except TooLong:
-            self.counters.add("lines too long")
-            with suppress(Broken):
-                await self._say(link, b"ERR\r\n")
-        except Exception as e:
-            self.counters.add("faults")
-            self.log.event("fault", error=repr(e), trace=_trace(e))
-            if not link.answered:  # also a request that a fault has hit gets its final answer
-                with suppress(Broken):
-                    await self._say(link, b"ERR\r\n")
-        finally:
-            link.close()
-            self.open -= 1
+        with self.admission.guest(link) as guest:
+            try:
+                await self._visit(link, guest)
+            except Broken:
+                pass
+            except Exception as e:
+                self.counters.add("faults")
+                self.log.event("fault", error=repr(e), trace=_trace(e))
+                if not link.answered:  # also a request that a fault has hit gets its final answer
+                    with suppress(Broken):
+                        await self._say(link, b"ERR\r\n")
+            finally:
+                link.close()
 
-    async def _first(self, link: Link) -> None:
-        while True:
-            line = None
-            with trio.move_on_after(FIRST_LINE_WITHIN):
-                line = await link.line()
-            if line is None:
-                return  # no whole line, no request
-            if line.strip() != b"PING":
-                break
-            self.counters.add("pings")
-            await link.send(b"PONG\r\n")
-        groups = self.config.settings.groups
+    async def _visit(self, link: Link, guest: Guest) -> None:
+        """From the accept to the end: a first line within its time, then what it asks for."""
+        opened: Opened | None = None
         try:
-            opened = parse_open(line, self.config.classes, groups)
-            if opened.request.id in self.driver:
-                raise BadOpen("the id is in use")
-        except BadOpen as e:
+            with guest.scope:
+                opened = await self._first(link)
+            if guest.scope.cancelled_caught and not guest.shed:
+                raise BadOpen("no whole first line in time")
+            if opened is not None and opened.request.id in self.driver:
+                raise BadOpen("the id is in use")  # another's request, which goes on
+            if opened is not None and link.holds(COMMANDS):
+                raise BadOpen("commands that did not wait for an answer")
+        except (BadOpen, TooLong) as e:
             self.counters.add("bad first lines")
-            self.log.event("bad first line", why=str(e), line=line[:80].decode("latin-1"))
+            self.log.seldom("bad first line", why=str(e) or "too long")
+            self.admission.turned_away(guest)
             await self._say(link, b"ERR\r\n")
             return
+        if opened is None:
+            return  # no whole line, no request
         self.counters.add("requests")
         link.answered = False  # a PONG was none
-        if opened.at is None and (self.closing or self.busy >= self.pairs):
+        if opened.at is None and (self.closing or self.admission.full):
             # A process that ends, or has no descriptors left, can't keep a connection.
             self.counters.add("refused while closing" if self.closing else "refused: full")
+            self.admission.turned_away(guest)
             await self._say(link, b"BUSY %d\r\n" % (1000 * NEWCOMERS))
             return
-        self.busy += 1
-        try:
+        with self.admission.admitted(guest):
             if opened.at is not None:
-                await self._adopt(link, opened, opened.at)
+                answer = await self._adopt(link, opened, opened.at)
             else:
-                await self._request(link, opened)
-        finally:
-            self.busy -= 1
+                answer = await self._request(link, opened)
+        if answer:
+            await self._say(link, answer)
+
+    async def _first(self, link: Link) -> Opened | None:
+        """The OPEN; None where the connection ends before it."""
+        pings = 0
+        while (line := await link.line()) is not None:
+            if line.strip() != b"PING":
+                return parse_open(line, self.config.classes, self.config.settings.groups)
+            if (pings := pings + 1) > PINGS:
+                raise BadOpen("too many commands")
+            self.counters.add("pings")
+            await link.send(b"PONG\r\n")
+        return None
 
     # ------------------------------------------------------------ the life of a request
 
-    async def _request(self, client: Link, opened: Opened) -> None:
+    async def _request(self, client: Link, opened: Opened) -> bytes:
+        """Place a request and stay until its end; the answer that its client is still owed."""
         request = opened.request
         wait = min(request.time_left, self.config.settings.classes[request.cls].deadline)
         request = replace(request, time_left=wait - ANSWER_MARGIN)
@@ -354,7 +355,7 @@
         answer = b""
         attempts = 0
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_until_gone, client, nursery.cancel_scope)
+            nursery.start_soon(_until_gone, client, case, nursery.cancel_scope)
             try:
                 self.driver.request(case, request)
                 while up is None and not answer:
@@ -377,6 +378,8 @@
                 if up is None and not answer:
                     self.driver.gone(request.id)
             nursery.cancel_scope.cancel()
+        if up is None and not answer and case.unruly:
+            answer = b"ERR\r\n"
         self.log.event("request", id=request.id, cls=request.cls, attempts=attempts, left=request.time_left,
                        ms=round(1000 * (trio.current_time() - start), 1),
                        answer="UP" if up else answer.decode("latin-1").strip() or "gone")
@@ -385,9 +388,10 @@
             await self._stand(client, case, opened, up)
         elif answer:
             self.counters.add(f"answers {first_word(answer).decode('latin-1')}")
-            await self._say(client, answer)
+            return answer
         else:
             self.counters.add("clients gone")
+        return b""
 
     async def _attempt(self, case: Case, opened: Opened, send: Send) -> Up | Failed:
         tried: Up | Failed = Failed(Outcome.CANCELLED)
@@ -395,13 +399,13 @@
             tried = await self.servers.attempt(send.server, opened.first_line, send.timeout)
         return tried
 
-    async def _adopt(self, client: Link, opened: Opened, at: str) -> None:
+    async def _adopt(self, client: Link, opened: Opened, at: str) -> bytes:
         """A connection that was open at that runner before the run: taken over, not placed."""
         case, request = Case(), opened.request
         tried: Up | Failed = Failed(Outcome.VOID)
         stop = trio.current_time() + ADOPT_WITHIN
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_until_gone, client, nursery.cancel_scope)
+            nursery.start_soon(_until_gone, client, case, nursery.cancel_scope)
             while isinstance(tried, Failed) and trio.current_time() < stop:
                 if (server := self.fleet.find(at)) is not None:
                     tried = await self.servers.attempt(
@@ -413,8 +417,8 @@
         if isinstance(tried, Up) and server is not None:
             self.driver.adopted(case, request, server)
             await self._stand(client, case, opened, tried)
-        else:
-            await self._say(client, b"BUSY\r\n")
+            return b""
+        return b"BUSY\r\n"
 
     async def _stand(self, client: Link, case: Case, opened: Opened, up: Up) -> None:
         """Pass all lines on until a side ends or the client is moved."""
@@ -469,21 +473,21 @@
         for case in standing:
             case.move()
             await trio.sleep(MOVES_OVER / len(standing))
-        while self.open:
+        self.admission.shed_all()
+        # Not all connections: those that come and are turned away again and again would hold up the end.
+        while self.admission.asking:
             for case in list(self.cases.values()):  # those that were on their way
                 case.move()
             await trio.sleep(0.02)
 
 
-async def _until_gone(client: Link, scope: trio.CancelScope) -> None:
-    """End a placement when the client goes away. What it sends before its UP is kept, up to a line."""
-    try:
-        while client.buffered < LINE and await client.fill():
-            pass
-        if client.buffered >= LINE:
-            await trio.sleep_forever()
-    except Broken:
-        pass
+async def _until_gone(client: Link, case: Case, scope: trio.CancelScope) -> None:
+    """End a placement when the client goes away, or does not wait for its answer: a line that comes early is
+    kept, but neither a command nor more than a line. Guards against serving, as one request, the first of
+    hundreds sent at once."""
+    with suppress(Broken):
+        while not case.unruly and await client.fill():
+            case.unruly = client.buffered >= LINE or client.holds(COMMANDS)
     scope.cancel()
 
 
--- a/aspensaddle/net/lines.py
+++ b/aspensaddle/net/lines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import struct
 from contextlib import suppress
@@ -10,6 +11,7 @@
 
 LINE = 4096  # bytes of a line at most, its end included
 CHUNK = 4096
+LINGER = 65536  # bytes read at most after the last answer
 
 
 class TooLong(Exception):
@@ -71,6 +73,11 @@
         del self._buffer[:end]
         return line
 
+    def holds(self, words: tuple[bytes, ...]) -> bool:
+        """Whether a whole line that has come begins with one of the words."""
+        return bool(self._buffer) and any(
+            line.startswith(words) for line in bytes(self._buffer).split(b"\n")[:-1])
+
     @property
     def buffered(self) -> int:
         return len(self._buffer)
@@ -82,6 +89,11 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             raise Broken from None
 
+    def send_now(self, data: bytes) -> None:
+        """Send what fits without a wait, to one that nothing else is being sent to."""
+        with suppress(OSError, ValueError):
+            os.write(self.stream.socket.fileno(), data)
+
     async def end_sending(self) -> None:
         try:
             await self.stream.send_eof()
@@ -90,11 +102,14 @@
 
     async def close_gently(self, within: float) -> None:
         """Close so that what was sent arrives: a close with unread data would reset the connection and may
-        take the last line with it, so read on until the other side has ended too."""
+        take the last line with it, so read on until the other side has ended too. But only so much: guards
+        against one that sends without end, at full speed, and would have this process do nothing else."""
+        most = LINGER
         with trio.move_on_after(within, shield=True):
             try:
                 await self.end_sending()
-                while await self.fill():
+                while most > 0 and await self.fill():
+                    most -= len(self._buffer)
                     self._buffer.clear()
             except Broken:
                 pass
--- a/aspensaddle/net/log.py
+++ b/aspensaddle/net/log.py
@@ -16,6 +16,7 @@
 
 BACKLOG = 2000
 FLUSH_WITHIN = 0.5  # at exit
+SELDOM = 1.0  # seconds between two events of a kind that others can cause at will
 
 
 class Log:
@@ -25,6 +26,18 @@
         self._queue: queue.Queue[bytes | None] = queue.Queue(BACKLOG)
         self._thread = threading.Thread(target=self._write, name="log", daemon=True)
         self._thread.start()
+        self._seldom: dict[str, tuple[float, int]] = {}  # when last written, and how often passed over since
+
+    def seldom(self, event: str, **fields: Any) -> None:
+        """An event that others can cause at will: at most one is written in a while, with the count of those
+        passed over since the last. Guards against a log that costs more than what it tells of."""
+        now = time.monotonic()
+        written, passed = self._seldom.get(event, (-SELDOM, 0))
+        if now < written + SELDOM:
+            self._seldom[event] = written, passed + 1
+            return
+        self._seldom[event] = now, 0
+        self.event(event, **fields, passed_over=passed)
 
     def event(self, event: str, **fields: Any) -> None:
         line = orjson.dumps({"t": round(time.time(), 4), "name": self.name, "event": event, **fields},
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,214 @@
+"""Rude clients: what they are owed, and that they cost others nothing."""
+
+import time
+from contextlib import ExitStack
+from types import SimpleNamespace
+
+import pytest
+import trio
+from standins import WAIT, Client, Discovery, Program, Runner, until
+
+from aspensaddle.net.admission import LEAST_GUESTS, Admission
+from aspensaddle.net.clients import BadOpen, parse_open
+from aspensaddle.net.counters import Counters
+from aspensaddle.net.lines import LINGER, Link
+from aspensaddle.net.log import Log
+
+
+@pytest.fixture
+def world(tmp_path):
+    made = []
+
+    def make(**config):
+        runner = Runner("s-0")
+        discovery = Discovery([runner.target()])
+        made.extend((runner, discovery, Program(tmp_path, discovery.address, [runner.target()], **config)))
+        return SimpleNamespace(runner=runner, program=made[-1], client=lambda: Client(made[-1].address))
+
+    yield make
+    for part in reversed(made):
+        (part.kill if isinstance(part, Program) else part.close)()
+
+
+def test_hundreds_who_say_nothing_keep_nobody_out(world):
+    w = world(limits={"sockets": 128})
+    silent = [w.client() for _ in range(300)]
+    with w.client() as c:
+        assert c.open().startswith(b"UP ")
+        assert c.echo(b"M 1") == b"M 1\r\n"
+    answers = [c.line() for c in silent]  # the oldest at once, the rest when their time is over
+    assert {b"BUSY\r\n", b"ERR\r\n"} == set(answers)
+    assert all(c.line() == b"" for c in silent)
+    for c in silent:
+        c.close()
+    counts = w.program.counts()
+    assert counts["guests shed"] >= 200 and "faults" not in counts and "accept EMFILE" not in counts
+
+
+def test_one_time_for_the_whole_stay_before_an_open(world):
+    """Each PING began the wait anew before, so a connection could be held for ever."""
+    w = world()
+    with w.client() as c:
+        start = time.monotonic()
+        answers = [c.echo(b"PING")]
+        while answers[-1] == b"PONG\r\n":
+            time.sleep(0.3)
+            try:
+                answers.append(c.echo(b"PING"))
+            except OSError:  # closed meanwhile
+                break
+            assert time.monotonic() - start < WAIT
+        assert len(answers) < 16
+
+
+def test_pings_without_end_are_an_error(world):
+    w = world()
+    with w.client() as c:
+        c.send(b"PING\r\n" * 100)
+        assert [c.line() for _ in range(17)] == [b"PONG\r\n"] * 16 + [b"ERR\r\n"]
+
+
+@pytest.mark.parametrize("more", [b"OPEN b k c=test-run,d=900\r\n" * 100, b"PING\r\n", b"z" * 5000])
+def test_who_does_not_wait_for_an_answer_gets_an_error_and_no_runner(world, more):
+    w = world()
+    w.runner.answer = b""  # so that the attempt is out until it is given up
+    with w.client() as c:
+        c.send(b"OPEN a k c=test-run,d=3000\r\n" + more)
+        assert c.line() == b"ERR\r\n"
+    with w.client() as c:
+        c.send(b"OPEN b k c=test-run,d=3000\r\n")
+        until(lambda: any(b" b " in line for line in w.runner.first_lines), "the attempt")
+        c.send(more)
+        assert c.line() == b"ERR\r\n"
+    assert "answers UP" not in w.program.counts()
+
+
+def test_an_early_line_is_kept_for_the_runner(world):
+    w = world()
+    with w.client() as c:
+        c.send(b"OPEN a k c=test-run,d=3000\r\nM 1\r\n")
+        assert c.line() == b"UP s-0\r\n" and c.line() == b"M 1\r\n"
+
+
+def test_the_id_of_another_s_request_harms_nobody(world):
+    w = world()
+    with w.client() as good:
+        assert good.open().startswith(b"UP ")
+        line = w.runner.first_lines[0]
+        for _ in range(3):
+            with w.client() as bad:
+                bad.send(line)
+                assert bad.line() == b"ERR\r\n"
+        assert good.echo(b"M 1") == b"M 1\r\n"
+    assert len(w.runner.first_lines) == 1
+
+
+def test_who_comes_again_at_once_neither_fills_the_log_nor_holds_up_the_end(world):
+    w = world()
+    for _ in range(50):
+        with w.client() as c:
+            c.send(b"frob\r\n")
+            assert c.line() == b"ERR\r\n"
+    assert w.program.counts()["bad first lines"] == 50
+    assert len(w.program.events("bad first line")) < 25
+    silent = w.client()
+    assert w.program.terminate() == 0
+    silent.close()
+
+
+def test_a_line_without_end_is_not_read_to_its_end():
+    async def main():
+        listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+        client = await trio.open_tcp_stream(*listener.socket.getsockname())
+        link = Link(await listener.accept())
+        sent = 0
+
+        async def flood():
+            nonlocal sent
+            try:
+                while True:
+                    await client.send_all(b"k" * 65536)
+                    sent += 65536
+            except trio.BrokenResourceError:
+                pass
+
+        with trio.fail_after(WAIT):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(flood)
+                read = 0
+                fill = link.fill
+
+                async def counted():
+                    nonlocal read
+                    more = await fill()
+                    read += link.buffered
+                    return more
+
+                link.fill = counted
+                await link.close_gently(WAIT)
+                assert LINGER <= read < 2 * LINGER
+        await listener.aclose()
+
+    trio.run(main)
+
+
+class FakeLink:
+    def __init__(self):
+        self.said, self.closed = b"", False
+
+    def send_now(self, data):
+        assert not self.closed
+        self.said += data
+
+    def close(self):
+        self.closed = True
+
+
+def test_the_oldest_guest_goes_first_and_those_turned_away_before_it():
+    async def main():
+        admission = Admission(Counters(), 64)
+        most = admission.most_guests
+        assert most >= LEAST_GUESTS and 2 * admission.most_asking + most <= 64
+        links = [FakeLink() for _ in range(most + 3)]
+        with ExitStack() as stack:
+            guests = [stack.enter_context(admission.guest(link)) for link in links[:most]]
+            admission.turned_away(guests[3])
+            asking = stack.enter_context(ExitStack())
+            asking.enter_context(admission.admitted(guests[0]))  # no guest any more
+            for link in links[most:]:
+                stack.enter_context(admission.guest(link))
+            assert [i for i, link in enumerate(links) if link.closed] == [1, 3]
+            assert links[3].said == b"" and links[1].said == b"BUSY\r\n"  # 3 had its answer
+            assert guests[1].scope.cancel_called and not links[0].closed
+            asking.close()  # a guest again: one more than there is room for
+            assert admission.asking == 0 and admission.guests == most
+            admission.shed_all()
+            assert all(link.closed for link in links)
+        assert admission.open == 0
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("line", [
+    b"OPEN i k c=test-run,d=\r\n",  # every runner answered it ERR, and was blamed for it
+    b"OPEN i k c=test-run\r\n", b"OPEN i k c=test-run,d=1 0\r\n", b"OPEN i k c=test-run,d=1,d=2\r\n",
+    b"OPEN i k c=test-run,d=9,h=nan\r\n", b"OPEN i k c=test-run,d=9,h=1_0\r\n", b"OPEN i k c=test-run,d=9,h=1e99\r\n",
+    b"OPEN i k c=test-run,d=9,h=-1\r\n", b"OPEN " + b"i" * 200 + b" k c=test-run,d=9\r\n",
+    b"OPEN i\x00 k c=test-run,d=9\r\n", b"OPEN i k c=test-run,d=9,g=\x07\r\n",
+])
+def test_first_lines_that_a_runner_could_not_use_go_to_none(line):
+    with pytest.raises(BadOpen):
+        parse_open(line, {"test-run": 0}, True)
+
+
+def test_an_event_at_will_is_logged_now_and_then_and_counted(monkeypatch):
+    log, lines = Log("n0", 1), []
+    monkeypatch.setattr(log, "event", lambda event, **more: lines.append((event, more)))
+    clock = SimpleNamespace(now=100.0)
+    monkeypatch.setattr("aspensaddle.net.log.time.monotonic", lambda: clock.now)
+    for _ in range(5):
+        log.seldom("x", n=1)
+    clock.now += 1.5
+    log.seldom("x", n=2)
+    log.close()
+    assert lines == [("x", {"n": 1, "passed_over": 0}), ("x", {"n": 2, "passed_over": 4})]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -194,6 +194,6 @@
                     assert await a.receive_some(100) == b"ERR\r\n"
                     await a.aclose()
         assert events == ["fault", "fault"] and clients.counters["faults"] == 2
-        assert clients.open == clients.busy == 0
+        assert clients.admission.open == 0
 
     trio.run(main)
