--- a/aspensaddle/__main__.py
+++ b/aspensaddle/__main__.py
@@ -152,7 +152,8 @@
 
     def report(self) -> None:
         self.log.event("counters", standing=len(self.clients.cases), open=self.clients.admission.open,
-                       log_dropped=self.log.dropped, counts=self.counters.report())
+                       log_dropped=self.log.dropped, counts=self.counters.report(),
+                       runners={self.fleet.uid(n): b for n, b in self.driver.beliefs().items()})
 
     # ------------------------------------------------------------ what the driver asks for
 
--- a/aspensaddle/driver.py
+++ b/aspensaddle/driver.py
@@ -190,6 +190,14 @@
         if slow or was:
             self._feed(api.DelayNote(id, case.server, delay), now)
 
+    def beliefs(self) -> dict[int, dict[str, float]]:
+        """What is believed of each server, to be held against what really passes on its connections."""
+        now = self.now()
+        return {s.id: {"connections": len(s.holds), "load": round(s.carried, 4), "share": round(s.share, 4),
+                       "sends": s.S, "accepts": s.A, "aside": round(max(0.0, s.aside_until - now), 2),
+                       "slow": round(max(0.0, s.slow_until - now), 2)}
+                for s in self.balancer.servers.values()}
+
     # ------------------------------------------------------------ routing
 
     def _feed(self, event: api.Event, now: float | None = None) -> None:
--- a/aspensaddle/net/clients.py
+++ b/aspensaddle/net/clients.py
@@ -353,7 +353,7 @@
         start = trio.current_time()
         up: Up | None = None
         answer = b""
-        attempts = 0
+        attempts, server = 0, -1
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_until_gone, client, case, nursery.cancel_scope)
             try:
@@ -365,7 +365,7 @@
                     elif isinstance(decision, Fail):
                         answer = b"ERR\r\n"
                     else:
-                        attempts += 1
+                        attempts, server = attempts + 1, decision.server
                         tried = await self._attempt(case, opened, decision)
                         if isinstance(tried, Up):
                             up = tried
@@ -381,6 +381,7 @@
         if up is None and not answer and case.unruly:
             answer = b"ERR\r\n"
         self.log.event("request", id=request.id, cls=request.cls, attempts=attempts, left=request.time_left,
+                       at=self.fleet.uid(server) if attempts else None,
                        ms=round(1000 * (trio.current_time() - start), 1),
                        answer="UP" if up else answer.decode("latin-1").strip() or "gone")
         if up is not None:
