A runner that drops connections as soon as they are up is set aside until one holds

Checked with the outcomes and beliefs each second: it answered UP after 150 to 630 ms and broke the connection within 0.3 s; clients came back and went there again, as it carried nothing; its ratio fell by a tenth a tick only (0.40 to 0.12 in 10 s), and each UP put its count of failures back to nothing. Ruled out: the balancer's own end of those connections (outcome was the runner's reset), drains. At fault: Balancer._ended (breaks of standing connections never counted as a failure) and _accept (reset by UP).

--- a/aspensaddle/balance.py
+++ b/aspensaddle/balance.py
@@ -24,6 +24,7 @@
 RING_POINTS, GROUP_WALK = 8, 16  # places of a server on the ring, to even out gaps; places a group looks at
 DRIFT = 0.8  # of the mean load at the last plan, and its inverse: what the plan allows it
 TRIAL_FIRST, TRIAL_LAST = 1.0, 16.0  # back-off of the trials of a dead server
+HOLDS = 2.0  # a connection that has stood for so long was not dropped as soon as it was up
 SLOW_PART, SLOW_LASTS = 1 / 3, 2.5  # of the message aim, where notes begin; seconds, two notes missed
 
 NO_FAULT = (api.Outcome.OK, api.Outcome.VOID, api.Outcome.CANCELLED)  # say nothing against the server
@@ -42,6 +43,7 @@
         self.known, self.unknown, self.carried = 0.0, 0, 0.0  # load told, connections of untold load, both
         self.holds: dict[str, _Request] = {}  # connections that stand
         self.fails, self.aside_until, self.slow_until = 0, 0.0, 0.0
+        self.drops, self.dropped_at = False, 0.0  # whether and when it dropped a connection that was just up
         self.credit = self.earned_at = 0.0
         self.fit = False  # counts in its areas' shares
         # The hash of integers is the same in every process, so that all balancers lay the same ring.
@@ -81,7 +83,7 @@
 
     def __init__(self, ask: api.Request, deadline: float) -> None:
         self.ask, self.deadline, self.load = ask, deadline, ask.load
-        self.attempts, self.sent_at, self.stands = 0, 0.0, False
+        self.attempts, self.sent_at, self.stands, self.up_at = 0, 0.0, False, 0.0
         self.tried: list[int] = []
         self.server: _Server | None = None
         self.ran_on: _Server | None = None  # where the first attempt that may have run went
@@ -161,7 +163,7 @@
         """Servers enter at the mean ratio with a clean record, others leave; all are rescaled to sum to 1."""
         for s in joined:
             s.ready = s.ready and s.id in self.servers
-            s.ratio, s.fails, s.aside_until, s.slow_until = 0.0, 0, 0.0, 0.0
+            s.ratio, s.fails, s.aside_until, s.slow_until, s.drops = 0.0, 0, 0.0, 0.0, False
             # A cold one waits for a random part of a connection, lest all balancers greet it at once.
             s.credit, s.earned_at = -self.random.random() * self.mean, now
         ready = [s for s in self.servers.values() if s.ready]
@@ -201,6 +203,8 @@
             self.raised += cut / (self.ready - 1)
             self._place(now, worst)
         for s in list(self.restless.values()):
+            if s.drops and any(now >= r.up_at + HOLDS for r in s.holds.values() if r.up_at > s.dropped_at):
+                s.drops, s.fails, s.aside_until = False, 0, 0.0
             if self.slot % 2 or s.fit != (s.aside_until <= now and s.slow_until <= now):  # warmth can wait
                 self._place(now, s)
         self._look(now)
@@ -409,8 +413,11 @@
             r.server.holds[event.id] = r
 
     def _accept(self, now: float, r: _Request, s: _Server, latency: float) -> None:
-        r.stands = True
-        if s.fails:
+        r.stands, r.up_at = True, now
+        if s.drops:  # its trial is over when the connection has held
+            s.aside_until = now + HOLDS
+            self._place(now, s)
+        elif s.fails:
             s.fails, s.aside_until = 0, 0.0
             self._place(now, s)
         self._count(s, latency <= self.settings.classes[r.ask.cls].aim)
@@ -427,6 +434,10 @@
             self._count(s, False)
             # One trim a tick is too slow for a server that is gone, or fails at once and so is always due.
             failed = not r.stands and outcome is not api.Outcome.TIMED_OUT  # that may be the store's doing
+            if r.stands and outcome is api.Outcome.BROKEN and now < r.up_at + HOLDS:
+                # Guards against a server that takes connections and drops them at once: it carries nothing,
+                # so it would always be due, and its clients would come back to it for ever.
+                failed, s.drops, s.dropped_at = True, True, now
             s.fails += failed
             if failed and (outcome is api.Outcome.UNREACHABLE or s.fails > 1):
                 wait = min(TRIAL_LAST, TRIAL_FIRST * 2 ** min(s.fails - 1, 10))
--- a/tests/test_extensions.py
+++ b/tests/test_extensions.py
@@ -37,6 +37,35 @@
     assert d.b.servers[send.server].fails == 0
 
 
+def test_a_server_that_drops_connections_as_soon_as_they_are_up_is_set_aside_until_one_holds():
+    """Such a server carries nothing, so its turn would come again and again."""
+    d = Driver(3)
+    bad, sent = d.place().server, 0
+    for _ in range(30):
+        send = d.place()
+        if send.server == bad:
+            sent += 1
+            d.end(send, Outcome.BROKEN, finished=True)
+        d.tick(0.5)
+    assert 2 <= sent <= 8  # where the empty one is always due, nearly all
+    d.tick(20.0)
+    while d.place().server != bad:
+        pass
+    d.tick(1.0)
+    assert all(d.place().server != bad for _ in range(6))  # whether it holds is still open
+    d.tick(1.5)
+    assert d.b.servers[bad].fails == 0 and any(d.place().server == bad for _ in range(60))
+
+
+def test_an_old_connection_that_breaks_sets_nobody_aside():
+    d = Driver(2)
+    sends = [d.place() for _ in range(8)]
+    d.now += 10.0
+    for send in sends:
+        d.end(send, Outcome.BROKEN, finished=True)
+    assert {d.place().server for _ in range(4)} == {1, 2}
+
+
 def test_a_slow_server_gets_nothing_new_and_counts_as_failing():
     d = Driver(4)
     sends = [d.place() for _ in range(8)]
