--- a/aspensaddle/balance.py
+++ b/aspensaddle/balance.py
@@ -202,9 +202,10 @@
             worst.ratio -= cut + cut / (self.ready - 1)
             self.raised += cut / (self.ready - 1)
             self._place(now, worst)
-        for s in list(self.restless.values()):
+        for s in self.servers.values():
             if s.drops and any(now >= r.up_at + HOLDS for r in s.holds.values() if r.up_at > s.dropped_at):
                 s.drops, s.fails, s.aside_until = False, 0, 0.0
+        for s in list(self.restless.values()):
             if self.slot % 2 or s.fit != (s.aside_until <= now and s.slow_until <= now):  # warmth can wait
                 self._place(now, s)
         self._look(now)
