Weights by kind of machine, groups held as load, and servers far over the mean shed

Checked: beliefs each second and what passed on the sockets. At fault: _Server.update (size alone), _charge (no group), nothing looked at what stands.

--- a/aspensaddle/__main__.py
+++ b/aspensaddle/__main__.py
@@ -45,7 +45,7 @@
     def __init__(self, source: ConfigSource, config: Config, quic: QuicSettings | None, log: Log,
                  counters: Counters, replica: Replica | None = None) -> None:
         self.config, self.log, self.counters = config, log, counters
-        self.fleet = Fleet(config.zones)
+        self.fleet = Fleet(config.zones, config.settings.kinds)
         self.driver = Driver(config.settings, config.seed, self)
         self.servers = Servers(self.driver, self.fleet, self.counters)
         self.list: Discovery | StoreList | None = None
--- a/aspensaddle/balance.py
+++ b/aspensaddle/balance.py
@@ -17,11 +17,16 @@
 import aspensaddle.interface as api
 
 SLOTS, TICK = 10, 1.0  # m and T: trouble lasts seconds, and ten of them let sparse traffic leave a trace
+SPEEDS = {"fast-runner": 1.5, "plain-runner": 0.97}  # of a core: the middles in the operators' brief, 3
 DELTA = 0.1  # the part that the worst server loses at a time; the paper's figure
 LOCAL_EXCESS = 1.25  # how far above the fleet's mean the own zone may be loaded to save crossings
-LOCAL_LOAD = 0.25  # of a core, for each core that is listed: how far it may be loaded for that at all
-GROUP_EXCESS = 1.5  # how far above its area's mean a server may be loaded to keep a group whole
+LOCAL_LOAD = 0.35  # of a core, for each core that is listed: how far it may be loaded for that at all
+GROUP_COST = 3.0  # mean loads that a server pays for each group it holds any of (the operators' brief, 4.5)
+GROUP_EXCESS = 1.1  # how far above its area's mean a server may be loaded to keep a group whole
+KEY_EXCESS = 1.5  # and to be found again by a key
 RING_POINTS, GROUP_WALK = 8, 16  # places of a server on the ring, to even out gaps; places a group looks at
+LADEN = 0.3  # of a core, for each core that is listed: from where a server may lose what stands on it
+EVEN_EXCESS = 1.5  # how far above the fleet's mean it must be for that
 DRIFT = 0.8  # of the mean load at the last plan, and its inverse: what the plan allows it
 TRIAL_FIRST, TRIAL_LAST = 1.0, 16.0  # back-off of the trials of a dead server
 HOLDS = 2.0  # a connection that has stood for so long was not dropped as soon as it was up
@@ -41,6 +46,7 @@
         self.ratio = self.share = self.key = 0.0  # r; r by weight and warmth; load at which its turn comes
         self.sends, self.accepts, self.S, self.A = [0] * SLOTS, [0] * SLOTS, 0, 0
         self.known, self.unknown, self.carried = 0.0, 0, 0.0  # load told, connections of untold load, both
+        self.groups = Counter[int]()  # of the connections here, standing or on their way
         self.holds: dict[str, _Request] = {}  # connections that stand
         self.fails, self.aside_until, self.slow_until = 0, 0.0, 0.0
         self.drops, self.dropped_at = False, 0.0  # whether and when it dropped a connection that was just up
@@ -48,10 +54,11 @@
         self.fit = False  # counts in its areas' shares
         # The hash of integers is the same in every process, so that all balancers lay the same ring.
         self.points = [(hash((self.id, i)), self.id, self) for i in range(RING_POINTS)]
-        self.update(entry)
+        self.weight, self.started, self.ready = 1.0, 0.0, False
 
-    def update(self, entry: api.ServerEntry) -> None:
-        self.weight, self.started = entry.weight, entry.started_at  # 0: long ago
+    def update(self, entry: api.ServerEntry, kinds: tuple[str, ...]) -> None:
+        speed = SPEEDS.get(kinds[entry.kind], 1.0) if 0 <= entry.kind < len(kinds) else 1.0
+        self.weight, self.started = entry.weight * speed, entry.started_at  # 0: long ago
         self.ready = entry.state is api.ServerState.READY
 
     def rank(self) -> tuple[float, int]:
@@ -115,6 +122,7 @@
         """Take settings, at the start or later. Classes and zones keep the numbers that they have."""
         self.settings, self.rules, self.limits = settings, settings.rules, settings.limits
         self.message_aim = max(1e-3, min(c.message_aim for c in settings.classes))
+        self.group_cost = GROUP_COST if settings.groups else 0.0
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         return (self.handlers.get(type(event)) or (lambda *_: None))(now, event) or []
@@ -128,8 +136,7 @@
 
     def _timer_fired(self, now: float, event: api.TimerFired) -> list[api.Action]:
         if event.token == "tick":
-            self._tick(now)
-            return [api.SetTimer("tick", TICK)]
+            return [api.SetTimer("tick", TICK), *self._tick(now)]
         return [api.WatchList()] if event.token == "watch" else []
 
     # ------------------------------------------------------------ fleet list
@@ -146,12 +153,10 @@
             joined = [self.servers.pop(n) for n in list(self.servers) if n not in named]
         for e in event.entries:
             known = e.server in self.servers
-            if not known:
-                self.servers[e.server] = _Server(e, self.random.random())
-            s = self.servers[e.server]
+            s = self.servers[e.server] = self.servers.get(e.server) or _Server(e, self.random.random())
             if not known or e.started_at != s.started or (e.state is api.ServerState.READY) != s.ready:
                 joined.append(s)
-            s.update(e)
+            s.update(e, self.settings.kinds)
             if e.state is api.ServerState.GONE:  # forgotten, lest a long life gather all that ever ran
                 del self.servers[e.server]
         if joined:
@@ -195,7 +200,7 @@
 
     # ------------------------------------------------------------ counters and ratios
 
-    def _tick(self, now: float) -> None:
+    def _tick(self, now: float) -> list[api.Action]:
         worst = max((s for s in self.active.values() if s.ready), key=_Server.rank, default=None)
         if worst and worst.S > worst.A and self.ready > 1:
             cut = DELTA * (worst.ratio + self.raised)
@@ -220,6 +225,18 @@
         self.typical = self.typical + (level - self.typical) / SLOTS if self.typical else level
         if self.dirty or not self.slot and self.raised:  # raises and listed weights can wait
             self._plan(now)
+        return self._even(now)
+
+    def _even(self, now: float) -> list[api.Action]:
+        """Loads swing after a connection was placed, and what stands is not placed again: of the servers that
+        carry much for their cores, the one that carries most for its share loses up to DELTA of what it holds
+        a tick, while that is far over the fleet's mean."""
+        laden = [s for s in self.servers.values() if s.holds and s.share
+                 and s.carried > LADEN * s.share * self.ready]
+        if not laden or not self.measures or not 0 < (level := self.whole.level()) < float("inf"):
+            return []
+        s = max(laden, key=lambda s: s.key)
+        return self._move(now, s, DELTA * min(1.0, s.key / (EVEN_EXCESS * level) - 1))
 
     def _count(self, s: _Server, accepted: bool) -> None:
         self.active[s.id] = s
@@ -249,13 +266,20 @@
             s.unknown += sign
         else:
             s.known += sign * r.load
-        s.carried = s.known + s.unknown * self.mean
+        if r.ask.group is not None:
+            s.groups[r.ask.group] += sign
+            if not s.groups[r.ask.group]:
+                del s.groups[r.ask.group]
+        s.carried = self._weigh(s)
         self.held += s.carried - before
         if s.share:
             for area in self._areas(s):
                 area.carried += (s.carried - before) * s.fit
             self._queue(s)
 
+    def _weigh(self, s: _Server) -> float:
+        return s.known + (s.unknown + self.group_cost * len(s.groups)) * self.mean
+
     def _queue(self, s: _Server) -> None:
         s.key = (s.carried + s.phase * self.mean) / s.share
         for area in self._areas(s):
@@ -310,7 +334,7 @@
             area.fit, area.share, area.carried, area.heap = 0, 0.0, 0.0, []
         for s in self.servers.values():
             s.ratio += raised
-            s.carried, s.fit = s.known + s.unknown * self.mean, False
+            s.carried, s.fit = self._weigh(s), False
             self.held += s.carried
             self._place(now, s)
 
@@ -338,7 +362,7 @@
         key = r.ask.key if r.ask.group is None and self.settings.pass_through else r.ask.group
         if key is None or not area.fit:
             return None
-        limit = GROUP_EXCESS * area.level()
+        limit = (KEY_EXCESS if r.ask.group is None else GROUP_EXCESS) * area.level()
         if not area.ring:
             area.ring = sorted(p for s in {e[2].id: e[2] for e in area.heap}.values() for p in s.points)
         ring, start = area.ring, bisect(area.ring, (hash((key, RING_POINTS)), 0))
@@ -364,10 +388,19 @@
         return chosen
 
     def _move(self, now: float, s: _Server, part: float) -> list[api.Action]:
-        """Ask part of a server's connections to come again, the heaviest first: most load a move. Where most
-        servers are slow they are refused when they come, which sheds what the fleet cannot carry."""
+        """Ask part of a server's connections to come again, first those that free most: heavy ones, and those
+        that are among the last here of a group. Where most servers are slow they are refused when they come,
+        which sheds what the fleet cannot carry."""
+        if part <= 0:
+            return []
+
+        def frees(id: str) -> float:
+            r = s.holds[id]
+            alone = 0.0 if r.ask.group is None else self.group_cost * self.mean / s.groups[r.ask.group]
+            return (self.mean if r.load is None else r.load) + alone
+
         count = int(part * len(s.holds) + self.random.random())
-        going = sorted(s.holds, key=lambda id: -(s.holds[id].load or self.mean))[:count]
+        going = sorted(s.holds, key=frees, reverse=True)[:count]
         return [api.Move(id) for id in going if s.holds.pop(id)]
 
     # ------------------------------------------------------------ attempts of a request
--- a/aspensaddle/decode.py
+++ b/aspensaddle/decode.py
@@ -114,6 +114,7 @@
         ask_discovery=_get(m, "discovery", "pushed") == "on_request",
         pass_through=_get(family, "mode", "proxy") == "pass",
         groups=flag(family, "groups"),
+        kinds=tuple(str(k) for k in array(m, "host-types", [])),
         live_weights=_get(m, "weights", "none") == "live",
         report_fields=tuple(str(f) for f in array(report, "fields", [])),
         tenant_connections=tuple(
--- a/aspensaddle/interface.py
+++ b/aspensaddle/interface.py
@@ -97,6 +97,7 @@
     ask_discovery: bool = False  # the list comes only when asked for
     pass_through: bool = False  # packets pass through; connections outlive their balancer
     groups: bool = False  # servers pay once for each group they hold
+    kinds: tuple[str, ...] = ()  # of machines, by number
     live_weights: bool = False  # listed weights fall with the load held
     report_fields: tuple[str, ...] = ()
     tenant_connections: tuple[float, ...] = ()  # open connections in each tenant's share, all balancers
@@ -158,6 +159,7 @@
     state: ServerState = ServerState.READY
     weight: float = 1.0
     started_at: float = 0.0  # 0: long ago
+    kind: int = -1  # of machine, its place in the settings; -1: none of them
 
 
 class Outcome(Enum):
--- a/aspensaddle/net/config.py
+++ b/aspensaddle/net/config.py
@@ -47,8 +47,8 @@
     two uids with one hash, the later known takes the hash of itself with a count behind it.
     """
 
-    def __init__(self, zones: tuple[str, ...]) -> None:
-        self.zones = zones
+    def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...] = ()) -> None:
+        self.zones, self.kinds = zones, kinds
         self.addresses: dict[int, Address] = {}
         self._numbers: dict[str, int] = {}
         self._uids: dict[int, str] = {}
@@ -79,7 +79,8 @@
     def take(self, update: Update) -> tuple[ServerEntry, ...]:
         """Note the addresses of an update and number its entries for the balancer."""
         entries = tuple(
-            ServerEntry(self.number(t.uid), self._zone(t.zone), t.cell, t.state, t.weight, t.started_at)
+            ServerEntry(self.number(t.uid), self._zone(t.zone), t.cell, t.state, t.weight, t.started_at,
+                        self.kinds.index(t.model) if t.model in self.kinds else -1)
             for t in update.targets
         )
         for t, e in zip(update.targets, entries, strict=True):
@@ -109,6 +110,7 @@
     state: ServerState
     weight: float
     started_at: float  # Unix time in seconds; 0: long ago
+    model: str = ""
 
 
 @dataclass(slots=True)
@@ -136,7 +138,8 @@
     if not 0 <= weight < 1e9:
         raise DecodeError(f"capacity_hint must be a number from 0 up, not {weight!r:.60}")
     return Target(uid, address, text(m, "az") if m.get("az") is not None else "", integer(m, "pod_group", 0),
-                  state, float(weight), max(0.0, boot_ms / 1000))
+                  state, float(weight), max(0.0, boot_ms / 1000),
+                  text(m, "model") if m.get("model") is not None else "")
 
 
 def parse_update(m: Message) -> Update:
--- a/aspensaddle/net/reload.py
+++ b/aspensaddle/net/reload.py
@@ -19,7 +19,7 @@
 
 # What the process, or the numbers of all that it has in hand, are made of.
 FIXED = ("name", "listen", "seed", "zones")
-FIXED_SETTINGS = ("zone", "zones", "index", "ask_discovery", "pass_through")
+FIXED_SETTINGS = ("zone", "zones", "kinds", "index", "ask_discovery", "pass_through")
 
 
 class Reload:
--- a/aspensaddle/wire.py
+++ b/aspensaddle/wire.py
@@ -33,7 +33,7 @@
         ServerEntry(
             integer(e, "server"), integer(e, "region-part", 0), integer(e, "pod", 0),
             word(e, "phase", STATES, ServerState.READY), number(e, "capacity-hint", 1.0),
-            number(e, "started-at", 0.0),
+            number(e, "started-at", 0.0), integer(e, "generation-hw", -1),
         )
         for e in (as_object(e, "items") for e in array(m, "items"))
     )
--- a/tests/test_extensions.py
+++ b/tests/test_extensions.py
@@ -148,6 +148,88 @@
         assert max(held) <= 8, held
 
 
+def test_machines_are_loaded_by_the_speed_of_their_kind():
+    """The list's sizes tell their cores alone."""
+    settings = replace(SETTINGS, kinds=("other", "plain-runner", "fast-runner"))
+    d = Driver([entry(1, kind=1), entry(2, kind=2), entry(3, kind=0), entry(4)], settings=settings)
+    for _ in range(447):
+        d.place(load=0.01)
+    held = {n: len(s.holds) for n, s in d.b.servers.items()}
+    assert abs(held[1] - 97) <= 2 and abs(held[2] - 150) <= 2 and abs(held[3] - 100) <= 2, held
+    d.list(entry(1, kind=2))  # and by what the list says now
+    assert d.b.servers[1].weight == d.b.servers[2].weight
+
+
+def test_groups_that_a_server_holds_count_as_load_of_it():
+    d = Driver(2, settings=replace(SETTINGS, groups=True))
+    groups = [d.place(group=n, load=0.1) for n in range(8)]
+    held = {n: len(s.groups) for n, s in d.b.servers.items()}
+    (most, least) = sorted(held, key=lambda n: -held[n])
+    for send in groups:
+        if send.server == least:
+            d.end(send, Outcome.OK, finished=True)
+    assert not d.b.servers[least].groups
+    here = held[most]  # each costs three mean loads and its own
+    assert all(d.place(load=0.1).server == least for _ in range(4 * here - 2))
+
+
+def laden(servers, **more):
+    """Servers of which the first has connections whose loads grew after they were placed."""
+    d = Driver(servers, **more)
+    sends = [d.place(load=0.02) for _ in range(20 * servers)]
+    for send in sends:
+        if send.server == 1:
+            d.b.handle(d.now, LoadNote(send.id, 1, 0.05 + 0.001 * int(send.id[1:])))
+    return d
+
+
+def moves(d, ticks=10):
+    return [a for _ in range(ticks) for a in d.tick() if isinstance(a, Move)]
+
+
+def test_a_server_whose_load_has_grown_far_over_the_mean_loses_some_of_it():
+    d = laden(4)
+    before = d.b.servers[1].carried
+    first = moves(d, 1)
+    assert len(first) <= 3  # a tenth of 20, or less, a tick
+    gone = first + moves(d)
+    assert 2 <= len(gone) <= 20
+    loads = [d.b.requests[m.id].load for m in gone]
+    assert min(loads) > max(r.load for r in d.b.servers[1].holds.values())  # the heaviest
+    for m in gone:
+        d.b.handle(d.now, Ended(m.id, 0, 1, Outcome.CANCELLED, 0.0, True))
+    assert d.b.servers[1].carried < before
+
+
+def test_nothing_is_moved_where_it_would_not_help():
+    assert not moves(laden(1))  # nowhere else to go
+    even = Driver(4)
+    for _ in range(80):
+        even.place(load=0.05)
+    assert not moves(even)
+    light = Driver(4)
+    for n in range(8):
+        light.place(load=0.01 * n)
+    assert not moves(light)  # far from evenly, but hardly any load
+    alone = laden(2)
+    other = alone.b.servers[2]
+    other.aside_until = alone.now + 100
+    alone.b._plan(alone.now)
+    assert not moves(alone)
+
+
+def test_what_moves_first_frees_a_group_too():
+    d = Driver(2, settings=replace(SETTINGS, groups=True))
+    d.b.servers[2].aside_until = d.now + 1.0
+    d.b._plan(d.now)
+    for _ in range(20):
+        d.place(load=0.05, group=1)
+    last = d.place(load=0.04, group=2)  # the only one of its group here
+    d.now += 5.0
+    d.b._plan(d.now)
+    assert moves(d, 1)[0].id == last.id
+
+
 def test_a_mean_load_of_nothing_is_survived():
     d = Driver(2)
     send = d.place()
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -98,6 +98,12 @@
     assert len({fleet.number(u) for u in "abc"}) == 3 and fleet.number("a") == 7
 
 
+def test_a_model_is_told_by_its_place_among_the_kinds():
+    update = parse_update(load_json(LIST.replace(b"m2", b"fast")))
+    assert [e.kind for e in Fleet((), ("plain", "fast")).take(update)] == [1, 1]
+    assert [e.kind for e in Fleet(()).take(update)] == [-1, -1]
+
+
 def test_a_whole_list_forgets_who_is_not_in_it():
     fleet = Fleet(("a", "b"))
     fleet.take(parse_update(load_json(LIST)))
