--- a/aspensaddle/core/driver.py
+++ b/aspensaddle/core/driver.py
@@ -169,6 +169,11 @@
         if case := self._cases.get(id):
             self._feed(api.LoadNote(id, case.server, load))
 
+    def delay(self, id: str, delay: float) -> None:
+        """The runner itself says that a message takes this long there now."""
+        if case := self._cases.get(id):
+            self._feed(api.DelayNote(id, case.server, delay))
+
     def probed(self, server: int, outcome: api.Outcome, latency: float) -> None:
         self._feed(api.ProbeResult(server, outcome, latency))
 
--- a/aspensaddle/core/interface.py
+++ b/aspensaddle/core/interface.py
@@ -97,6 +97,7 @@
     ask_discovery: bool = False  # the list comes only when asked for
     pass_through: bool = False  # packets pass through; connections outlive their balancer
     groups: bool = False  # servers pay once for each group they hold
+    tells_delay: bool = False  # servers tell how long a message takes there
     kinds: tuple[str, ...] = ()  # of machines, by number
     live_weights: bool = False  # listed weights fall with the load held
     report_fields: tuple[str, ...] = ()
--- a/aspensaddle/core/settings.py
+++ b/aspensaddle/core/settings.py
@@ -35,6 +35,7 @@
         ask_discovery=raw(m, "discovery", "pushed") == "on_request",
         pass_through=raw(family, "mode", "proxy") == "pass",
         groups=flag(family, "groups"),
+        tells_delay=flag(family, "tells-delay"),
         kinds=tuple(str(k) for k in array(m, "host-types", [])),
         live_weights=raw(m, "weights", "none") == "live",
         report_fields=tuple(str(f) for f in array(report, "fields", [])),
--- a/aspensaddle/fronts/lines/clients.py
+++ b/aspensaddle/fronts/lines/clients.py
@@ -6,8 +6,7 @@
 import math
 import re
 import traceback
-from collections import deque
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass, replace
 
@@ -18,6 +17,8 @@
 from aspensaddle.fleet.runners import Fleet
 from aspensaddle.fronts.lines.admission import Admission, Guest
 from aspensaddle.fronts.lines.link import LINE, Broken, Link, TooLong
+from aspensaddle.fronts.lines.notes import Notes, Teller
+from aspensaddle.fronts.lines.relay import Relay
 from aspensaddle.fronts.lines.servers import Failed, Servers, Up, first_word
 from aspensaddle.support.counters import Counters
 from aspensaddle.support.hashing import stable_hash
@@ -27,16 +28,11 @@
 PINGS = 16  # ahead of an OPEN, at most
 ADOPT_WITHIN = 38.0
 ADOPT_AGAIN = 0.5
-SILENT = 4.5  # a line's wait after which the runner is held to be cut off; 7 s is the rule
 SWEEP = 0.25
-MIRROR_WITHIN = 0.5  # for the client to end its side once its runner has ended
-RUNNER_END_WITHIN = 5.0  # and the other way round
-LINE_HELD = 0.9  # a line may be held for a second
 GENTLE = 0.7
 NEWCOMERS = 0.45  # after SIGTERM new connections still come for this long
 MOVES_OVER = 0.6  # then the standing ones are moved, spread over this
 COMMANDS = (b"OPEN", b"PING", b"STATS")  # a client sends one and waits
-NO_ECHO = (b"UP", b"BYE", b"MOVE")  # a runner's own words; any other line is a client's that comes back
 
 _D = re.compile(rb"(?<=[ ,])d=\d+(?=[,\s]|$)")
 _WORD = re.compile(r"[!-~]{1,128}")
@@ -126,127 +122,6 @@
         return self._decision
 
 
-class Relay:
-    """Passes lines between a client and its runner until one side ends or the balancer moves the client."""
-
-    def __init__(self, client: Link, runner: Link, id: str, driver: Driver, counters: Counters) -> None:
-        self.client, self.runner, self.id = client, runner, id
-        self.driver, self.counters = driver, counters
-        self.outcome = Outcome.CANCELLED  # until the runner says or does something else
-        self.whole = True  # the client has whole lines only
-        self.reset = False  # a side has gone with a reset, which is passed on
-        self.silent = False
-        self._stopped = False
-        self._word = b""  # the last from the runner
-        self._out: deque[float] = deque(maxlen=64)  # when the lines left that have not come back
-        self._scope = trio.CancelScope()
-
-    def stop(self) -> None:
-        self._stopped = True
-        self._scope.cancel()
-
-    def sweep(self, now: float) -> None:
-        """Guards against a runner that was cut off: it keeps its connections open and says nothing."""
-        if self._out and now - self._out[0] > SILENT and not self._stopped:
-            self.silent = True
-            self.stop()
-
-    def overdue(self, now: float) -> float:
-        return now - self._out[0] if self._out else 0.0
-
-    async def run(self, said: bytes) -> bool:
-        """True where the client is to be moved."""
-        with self._scope:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._guard, Outcome.CANCELLED, self._from_client)
-                nursery.start_soon(self._guard, Outcome.BROKEN, self._from_runner, said)
-        return self._stopped
-
-    async def _guard(self, too_long: Outcome, pump: Callable[..., Awaitable[None]], *args: bytes) -> None:
-        try:
-            await pump(*args)
-        except Broken:
-            self.reset = True
-            self._scope.cancel()
-        except TooLong:
-            self.outcome = too_long  # a client's endless line says nothing against its runner
-            self._scope.cancel()
-
-    async def _from_client(self) -> None:
-        while True:
-            if lines := self.client.take_lines():
-                now = trio.current_time()
-                self.counters.add("lines from clients", count := lines.count(b"\n"))
-                for _ in range(count):
-                    self._out.append(now)
-                await self._to_runner(lines)
-            if not await self.client.fill():
-                break
-        if rest := self.client.take_rest():
-            await self._to_runner(rest)
-        with suppress(Broken):
-            await self.runner.end_sending()
-        await trio.sleep(RUNNER_END_WITHIN)
-        self._scope.cancel()
-
-    async def _to_runner(self, data: bytes) -> None:
-        # Guards against losing the last lines of a runner that has closed already: what it said can still be
-        # read, and reading finds the end.
-        with suppress(Broken):
-            await self.runner.send(data)
-
-    async def _from_runner(self, said: bytes) -> None:
-        # Lines that came in one piece with the UP are in the link's buffer already: held, they would wait for
-        # the runner's next.
-        lines, more = said + self.runner.take_lines(), True
-        while more:
-            if lines:
-                self._note(lines)
-                await self._to_client(lines)
-            try:
-                more = await self.runner.fill()
-            except Broken:
-                self.reset, more = True, False
-            lines = self.runner.take_lines()
-        if rest := lines + self.runner.take_rest():
-            self._note(rest)
-            await self._to_client(rest)
-        if self._word == b"BYE":
-            self.outcome = Outcome.OK
-        elif self._word != b"MOVE" and not self.client.ended:
-            self.outcome = Outcome.BROKEN
-        if not self.reset:
-            await self.client.end_sending()
-            if not self.client.ended:
-                await trio.sleep(MIRROR_WITHIN)
-        self._scope.cancel()
-
-    async def _to_client(self, lines: bytes) -> None:
-        # Not to be cut off by a move halfway through a line; a client that does not read is.
-        self.whole = False
-        with trio.move_on_after(LINE_HELD, shield=True) as limit:
-            await self.client.send(lines)
-        if limit.cancelled_caught:
-            raise Broken
-        self.whole = True
-
-    def _note(self, lines: bytes) -> None:
-        now = trio.current_time()
-        for line in lines.splitlines():
-            word = self._word = first_word(line)
-            if word == b"LOAD":
-                try:
-                    load = float(line.split()[1]) / 1e6  # told in microseconds of work a second
-                except (IndexError, ValueError):
-                    self.counters.add("bad LOAD lines")
-                    continue
-                if 0 <= load < 1e6:
-                    self.driver.load(self.id, load)
-            elif self._out and word not in NO_ECHO:
-                self.driver.waited(self.id, now - self._out.popleft())
-        self.counters.add("lines from runners", lines.count(b"\n"))
-
-
 @dataclass(frozen=True, slots=True)
 class LinesSettings:
     """What the front takes from the configuration."""
@@ -264,6 +139,7 @@
         self.cases: dict[str, Case] = {}  # those that stand
         self.closing = False
         self.config = config
+        self._tellers: dict[int, Teller] = {}
         self.admission = Admission(counters, config.sockets, reserve)
 
     def configure(self, config: LinesSettings) -> None:
@@ -388,13 +264,14 @@
             nursery.cancel_scope.cancel()
         if up is None and not answer and case.unruly:
             answer = b"ERR\r\n"
-        self.log.event("request", id=request.id, cls=request.cls, attempts=attempts, left=request.time_left,
+        self.log.event("request", id=request.id, cls=request.cls, group=request.group, attempts=attempts,
+                       left=request.time_left,
                        at=self.fleet.uid(server) if attempts else None,
                        ms=round(1000 * (trio.current_time() - start), 1),
                        answer="UP" if up else answer.decode("latin-1").strip() or "gone")
         if up is not None:
             self.driver.established(request.id)
-            await self._stand(client, case, opened, up)
+            await self._stand(client, case, opened, server, up)
         elif answer:
             self.counters.add(f"answers {first_word(answer).decode('latin-1')}")
             return answer
@@ -422,17 +299,20 @@
                 if isinstance(tried, Failed):
                     await trio.sleep(ADOPT_AGAIN)
             nursery.cancel_scope.cancel()
-        self.log.event("adopted", id=request.id, at=at, up=isinstance(tried, Up))
+        self.log.event("adopted", id=request.id, cls=request.cls, group=request.group, at=at,
+                       up=isinstance(tried, Up))
         if isinstance(tried, Up) and server is not None:
             self.driver.adopted(case, request, server)
-            await self._stand(client, case, opened, tried)
+            await self._stand(client, case, opened, server, tried)
             return b""
         return b"BUSY\r\n"
 
-    async def _stand(self, client: Link, case: Case, opened: Opened, up: Up) -> None:
+    async def _stand(self, client: Link, case: Case, opened: Opened, server: int, up: Up) -> None:
         """Pass all lines on until a side ends or the client is moved."""
         id = opened.request.id
-        relay = case.relay = Relay(client, up.link, id, self.driver, self.counters)
+        start = trio.current_time()
+        relay = case.relay = Relay(client, up.link, id, self.driver, self.counters,
+                                   Notes(self.config.settings, self._teller(server), start))
         self.cases[id] = case
         self.counters.add("answers UP")
         moved = True
@@ -449,6 +329,8 @@
             else:
                 up.link.close()
         self.counters.add("moved" if moved else f"ended {outcome.label}")
+        self.log.event("ended", id=id, outcome="moved" if moved else outcome.label, load=relay.notes.load,
+                       stood=round(trio.current_time() - start, 3))
         if moved and relay.whole:
             self.log.event("moved", id=id, silent=relay.silent)
             await client.send(b"MOVE\r\n")
@@ -456,6 +338,11 @@
         elif relay.reset:
             client.reset()
 
+    def _teller(self, server: int) -> Teller:
+        for gone in [s for s in self._tellers if s not in self.fleet.addresses]:
+            del self._tellers[gone]
+        return self._tellers.setdefault(server, Teller())
+
     async def _say(self, client: Link, answer: bytes) -> None:
         """The final answer."""
         await client.send(answer)
--- /dev/null
+++ b/tests/test_notes.py
@@ -0,0 +1,71 @@
+"""What a runner's LOAD line is taken for, and that a runner which says it is slow gets nothing new."""
+
+from dataclasses import replace
+
+import pytest
+from helpers import SETTINGS
+from test_driver import World
+from test_relay import relay
+
+from aspensaddle.core.interface import Send
+from aspensaddle.fronts.lines.notes import Delay, Load, Notes, Teller
+
+TELLS = replace(SETTINGS, tells_delay=True)  # deadlines of 3 s, message aims of 0.06 s
+
+
+def told(settings, *figures):
+    """The notes of one connection that stands since 100 s, told (seconds after that, figure)."""
+    notes = Notes(settings, Teller(), 100.0)
+    return [notes.read(b"LOAD %s\r\n" % f, 100.0 + t) for t, f in figures]
+
+
+@pytest.mark.parametrize("figures, last", [
+    ([(0.0, b"66000")], [Load(0.066)]),
+    ([(0.0, b"250")], [Load(0.00025)]),  # with the UP: a light connection's load
+    ([(0.0, b"66000"), (9.0, b"33000")], [Load(0.033)]),
+    ([(0.0, b"66000"), (9.0, b"3000")], [Load(0.003)]),  # no message takes as long as the longest deadline
+    ([(0.0, b"66000"), (9.0, b"2999")], [Delay(2.999)]),  # a load hardly falls to less than a twentieth
+    ([(0.0, b"66000"), (9.0, b"12.8")], [Delay(0.0128)]),
+    ([(0.0, b"6600"), (9.0, b"660")], [Load(0.00066)]),  # a light connection falls idle
+    ([(0.0, b"6600"), (9.0, b"660"), (12.0, b"660")], [Load(0.00066)]),
+    ([(0.0, b"6600"), (9.0, b"660"), (10.02, b"900")], [Load(0.0066), Delay(0.9)]),  # in step: it was none
+    ([(0.0, b"6600"), (9.0, b"660"), (10.02, b"900"), (11.01, b"800")], [Delay(0.8)]),
+])
+def test_a_note_is_a_load_or_a_delay_by_what_it_can_be(figures, last):
+    assert told(TELLS, *figures)[-1] == tuple(last)
+
+
+def test_two_connections_at_a_slow_runner_tell_in_step():
+    teller = Teller()
+    a, b = Notes(TELLS, teller, 90.0), Notes(TELLS, teller, 90.0)
+    assert a.read(b"LOAD 500", 100.0) == (Load(0.0005),)
+    assert b.read(b"LOAD 600", 101.0) == (Delay(0.6),)
+
+
+def test_where_runners_tell_no_delays_every_note_is_a_load():
+    assert told(SETTINGS, (0.0, b"66000"), (9.0, b"250"))[-1] == (Load(0.00025),)
+
+
+@pytest.mark.parametrize("line", [b"", b"x", b"-1", b"nan", b"1e300"])
+def test_a_note_without_a_figure_in_range_is_none(line):
+    assert told(TELLS, (9.0, line)) == [()]
+
+
+def test_a_relay_tells_the_driver_of_both_kinds():
+    async def script(client, runner, r):
+        r.notes = Notes(TELLS, Teller(), -10.0)
+        await runner.send_all(b"LOAD 250000\r\nLOAD 400\r\n")
+        assert await client.receive_some(100) == b"LOAD 250000\r\nLOAD 400\r\n"
+        r.stop()
+
+    r, _ = relay(script)
+    assert r.driver.loads == [0.25] and r.driver.delays == [0.4]
+
+
+def test_a_runner_that_says_it_is_slow_gets_nothing_new():
+    w = World(settings=TELLS)
+    first = w.ask("first").actions[-1]
+    assert isinstance(first, Send)
+    w.driver.established("first")
+    w.driver.delay("first", 0.4)
+    assert all(w.ask(f"r{i}").actions[-1].server != first.server for i in range(20))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,23 +6,29 @@
 
 import pytest
 import trio
+from helpers import SETTINGS
 from hypothesis import given
 from hypothesis import strategies as st
 
 from aspensaddle.core.interface import Outcome
-from aspensaddle.fronts.lines.clients import Clients, Relay
+from aspensaddle.fronts.lines.clients import Clients
 from aspensaddle.fronts.lines.link import LINE, Link, TooLong
+from aspensaddle.fronts.lines.notes import Notes, Teller
+from aspensaddle.fronts.lines.relay import Relay
 from aspensaddle.support.counters import Counters
 from aspensaddle.support.log import BACKLOG, Log
 
 
 class Driver:
     def __init__(self):
-        self.loads, self.waits, self.ended_as = [], [], []
+        self.loads, self.delays, self.waits, self.ended_as = [], [], [], []
 
     def load(self, id, load):
         self.loads.append(load)
 
+    def delay(self, id, delay):
+        self.delays.append(delay)
+
     def waited(self, id, wait):
         self.waits.append(wait)
 
@@ -45,7 +51,8 @@
     """Run a relay while `script(client, runner, relay)` plays both ends; the relay and whether it moves."""
     async def main():
         (client, ours), (theirs, runner) = pair(), pair()
-        r = Relay(Link(ours), Link(theirs), "id", Driver(), Counters())
+        r = Relay(Link(ours), Link(theirs), "id", Driver(), Counters(),
+                  Notes(SETTINGS, Teller(), trio.current_time()))
         moved = []
 
         async def run():
