Many balancers try a slow server as often as few would, and fill cold ones by listed cores

And the credit of a cold server (_cold) was judged by the load a balancer carries itself, next to nothing with four connections, and started as a debt in the mean load 1.0 that nobody had told, so that a new balancer never sent one anything.

--- a/aspensaddle/core/balance.py
+++ b/aspensaddle/core/balance.py
@@ -31,6 +31,7 @@
 TRIAL_FIRST, TRIAL_LAST = 1.0, 16.0  # back-off of the trials of a dead server
 HOLDS = 2.0  # a connection that has stood for so long was not dropped as soon as it was up
 SLOW_PART, SLOW_LASTS = 1 / 3, 2.5  # of the message aim, where notes begin; seconds, two notes missed
+FEW = 2.5  # balancers on an ordinary day (the operators' brief, 1.1)
 
 NO_FAULT = (api.Outcome.OK, api.Outcome.VOID, api.Outcome.CANCELLED)  # say nothing against the server
 
@@ -48,7 +49,7 @@
         self.known, self.unknown, self.carried = 0.0, 0, 0.0  # load told, connections of untold load, both
         self.groups = Counter[int]()  # of the connections here, standing or on their way
         self.holds: dict[str, _Request] = {}  # connections that stand
-        self.fails, self.aside_until, self.slow_until = 0, 0.0, 0.0
+        self.fails, self.aside_until, self.slow_until, self.noted_at = 0, 0.0, 0.0, 0.0
         self.drops, self.dropped_at = False, 0.0  # whether and when it dropped a connection that was just up
         self.credit = self.earned_at = 0.0
         self.fit = False  # counts in its areas' shares
@@ -190,10 +191,11 @@
 
     def _cold(self, now: float, s: _Server) -> bool:
         """Guards against all balancers together pushing a cold server over: each sends it no more than fills
-        what it can do by now within the warm-up, judged by what the others carry for this balancer."""
+        what it can do by now within the warm-up, judged by what the others carry for this balancer, or by its
+        part of the cores that are listed: where balancers are many, each carries next to nothing."""
         if (warmth := self._warmth(now, s)) >= 1.0:
             return False
-        full = max(self.typical, self.mean / self.settings.balancers)
+        full = max(self.typical, s.weight / self.settings.balancers)
         rate = full * warmth / self.rules.warm_after * self.rules.tip_multiple / 2
         s.credit, s.earned_at = min(0.0, s.credit + rate * (now - s.earned_at)), now
         return s.credit < 0
@@ -211,6 +213,8 @@
             if s.drops and any(now >= r.up_at + HOLDS for r in s.holds.values() if r.up_at > s.dropped_at):
                 s.drops, s.fails, s.aside_until = False, 0, 0.0
         for s in list(self.restless.values()):
+            if s.holds and now > s.noted_at + SLOW_LASTS:  # what stands there has no more to tell
+                s.slow_until = min(s.slow_until, now)
             if self.slot % 2 or s.fit != (s.aside_until <= now and s.slow_until <= now):  # warmth can wait
                 self._place(now, s)
         self._look(now)
@@ -251,7 +255,10 @@
         if (s := self.servers.get(event.server)) is None:
             return None
         slow = event.delay >= self.message_aim * SLOW_PART
-        s.slow_until, was = now + SLOW_LASTS if slow else now, s.slow_until > now
+        # Where nothing of its own stands, no note will tell that it is slow still, and each of the balancers
+        # tries it again alone: all of them together as often as a few would.
+        lasts = SLOW_LASTS * max(1.0, self.settings.balancers / FEW)
+        s.noted_at, s.slow_until, was = now, now + lasts if slow else now, s.slow_until > now
         if slow != was:
             self._place(now, s)
         self._count(s, not slow)
@@ -289,6 +296,9 @@
         return (self.own, self.whole) if s.zone == self.settings.zone else (self.whole,)
 
     def _measure(self, now: float, load: float) -> None:
+        if not self.measures:  # what cold servers may be sent was reckoned in a mean that nobody had told
+            for s in self.servers.values():
+                s.credit *= load / self.mean
         self.measures = min(self.measures + 1, 100)  # the mean follows a change of traffic
         self.mean += (load - self.mean) / self.measures
         if not DRIFT * self.planned <= self.mean <= self.planned / DRIFT:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,80 @@
+"""What many balancers do that is harmless in one: forty of them in lock step, without sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+from helpers import SETTINGS, Driver, entry
+
+from aspensaddle.core.balance import SLOW_LASTS
+from aspensaddle.core.interface import DelayNote, Outcome, Send
+
+MANY, SERVERS, LOAD = 40, 12, 0.05
+FLEET = replace(SETTINGS, balancers=MANY)
+AIM = SETTINGS.classes[0].message_aim
+
+
+def fleet(servers=SERVERS, settings=FLEET, count=MANY) -> list[Driver]:
+    return [Driver(servers, settings, seed=n) for n in range(count)]
+
+
+def asked(drivers: list[Driver], server: int) -> Iterator[tuple[Driver, Send]]:
+    """Each balancer places one more connection; those that went to this server."""
+    for d in drivers:
+        (send,) = d.ask(load=LOAD)
+        if isinstance(send, Send):
+            d.stand(send)
+            if send.server == server:
+                yield d, send
+
+
+def note(d: Driver, server: int, delay: float) -> None:
+    d.b.handle(d.now, DelayNote("", server, delay))
+
+
+@pytest.mark.parametrize("count", [2, MANY])
+def test_a_slow_server_that_has_shed_all_is_tried_as_often_by_many_balancers_as_by_few(count):
+    """Each balancer that holds nothing there learns only by a trial of its own that the server is slow still."""
+    drivers, seconds, tries = fleet(settings=replace(SETTINGS, balancers=count), count=count), 60, 0
+    for d in drivers:
+        note(d, 3, AIM)
+    for _ in range(seconds):
+        for d, send in asked(drivers, 3):
+            tries += 1
+            note(d, 3, AIM)
+            d.end(send, Outcome.CANCELLED)
+        for d in drivers:
+            d.tick()
+    assert 0 < tries <= 2.5 * seconds / SLOW_LASTS
+
+
+@pytest.mark.parametrize("count", [2, MANY])
+def test_a_server_on_which_something_stands_is_slow_no_longer_than_its_notes_say(count):
+    """Forty balancers must not remember long what one of them can see has ended."""
+    d = Driver(SERVERS, replace(SETTINGS, balancers=count))
+    sends = [d.place(load=LOAD) for _ in range(3 * SERVERS)]
+    assert sum(s.server == 3 for s in sends) > 1
+    note(d, 3, AIM / 2)
+    d.tick()
+    assert d.b.servers[3].slow_until > d.now and not d.b.servers[3].fit
+    for _ in range(3):
+        d.tick()
+    assert d.b.servers[3].holds and d.b.servers[3].fit
+
+
+def test_a_cold_server_is_filled_by_many_balancers_that_carry_little_and_not_pushed_over():
+    """Each of forty carries next to nothing, so that what the others carry says little of what a server can."""
+    rules, now, cores = SETTINGS.rules, 1000.0, 2.0
+    servers = [entry(n, weight=cores, started_at=now if n == 1 else 0.0) for n in range(1, SERVERS + 1)]
+    drivers, sent = fleet(servers), 0.0
+    for second in range(int(rules.warm_after)):
+        sent += LOAD * len(list(asked(drivers[:8], 1)))  # a few of them at a time, as clients come
+        drivers = drivers[8:] + drivers[:8]
+        for d in drivers:
+            d.tick()
+        can = cores * (rules.cold_share + (1 - rules.cold_share) * (second + 1) / rules.warm_after)
+        assert sent <= rules.tip_multiple * can
+    others = sum(r.load or 0.0 for d in drivers for s in d.b.servers.values() if s.id != 1 for r in s.holds.values())
+    assert sent >= others / (SERVERS - 1) / 3
