--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,8 +8,11 @@
 import pytest
 from helpers import SETTINGS, Driver, entry
 
+from aspensaddle import Balancer
 from aspensaddle.core.balance import DELTA, SLOW_LASTS
-from aspensaddle.core.interface import DelayNote, Outcome, Send
+from aspensaddle.core.interface import (
+    DelayNote, ListScope, Outcome, Refuse, Send, ServersChanged, ServerState, SetTimer, Started,
+)
 
 MANY, SERVERS, LOAD = 40, 12, 0.05
 FLEET = replace(SETTINGS, balancers=MANY)
@@ -106,3 +109,37 @@
     d = Driver(servers, replace(FLEET, balancers=count, zones=2, zone=0))
     zones = [d.b.servers[d.place(load=LOAD).server].zone for _ in range(16)]
     assert (set(zones) == {0}) is local
+
+
+def test_calls_for_the_list_are_spread_after_a_common_start_and_after_a_common_failure():
+    """Discovery serves all that call at once in turn, so that the last would come too late."""
+    settings = replace(FLEET, ask_discovery=True)
+    starts, again = [], []
+    for n in range(MANY):
+        b = Balancer(settings, n)
+        starts += [a.delay for a in b.handle(0.0, Started()) if isinstance(a, SetTimer) and a.token == "watch"]
+        again += [a.delay for a in b.handle(0.0, ServersChanged(ListScope.FAILED, ())) if isinstance(a, SetTimer)]
+    for calls, within in (starts, settings.rules.must_ask_in / 2), (again, 1.0):
+        assert len(calls) == MANY and max(calls) <= within
+        assert max(sum(t <= c < t + within / 5 for c in calls) for t in calls) <= 2 * MANY / 3
+
+
+@pytest.mark.parametrize("count", [1, 2, MANY, 100])
+def test_lists_that_are_empty_shrink_grow_whole_or_come_again_leave_every_request_answered(count):
+    settings = replace(SETTINGS, balancers=count)
+    d = Driver(SERVERS, settings)
+    old = [entry(n, weight=2.0) for n in range(1, SERVERS + 1)]
+    anew = [entry(n, weight=2.0, started_at=d.now) for n in range(100, 160)]
+    leaving = [entry(n, state=ServerState.GONE) for n in range(1, SERVERS + 1)]
+    for scope, entries, sends in (
+            (ListScope.FULL, [], False), (ListScope.FULL, old, True), (ListScope.FULL, old[:1], True),
+            (ListScope.CHANGES, anew, True), (ListScope.CHANGES, leaving, None), (ListScope.CHANGES, leaving, None),
+            (ListScope.FULL, old, True), (ListScope.CHANGES, [], True)):
+        d.list(*entries, scope=scope)
+        for _ in range(3):
+            (action,) = d.ask(load=LOAD)
+            if isinstance(action, Send):
+                assert action.server in d.b.servers
+                d.stand(action)
+            assert isinstance(action, Refuse | Send) and sends in (None, isinstance(action, Send))
+            d.tick()
