--- a/aspensaddle/core/balance.py
+++ b/aspensaddle/core/balance.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from bisect import bisect
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from heapq import heappop, heappush
 from random import Random
@@ -24,6 +24,7 @@
 GROUP_COST = 3.0  # mean loads that a server pays for each group it holds any of (the operators' brief, 4.5)
 GROUP_EXCESS = 1.1  # how far above its area's mean a server may be loaded to keep a group whole
 KEY_EXCESS = 1.5  # and to be found again by a key
+GROUPS, SEEN = 16, 100  # groups there may be, until those of the last requests, so many, tell their shares
 RING_POINTS, GROUP_WALK = 8, 16  # places of a server on the ring, to even out gaps; places a group looks at
 LADEN = 0.3  # of a core, for each core that is listed: from where a server may lose what stands on it
 EVEN_EXCESS = 1.5  # how far above the fleet's mean it must be for that
@@ -108,6 +109,7 @@
         self.requests: dict[str, _Request] = {}
         self.active: dict[int, _Server] = {}  # servers with a count in the window
         self.own, self.whole = _Area(), _Area()
+        self.seen = deque[int | None](maxlen=SEEN)  # groups of those that came
         self.restless: dict[int, _Server] = {}  # servers that time alone changes: set aside, slow or cold
         self.slot = self.ready = 0
         self.dirty, self.raised = True, 0.0  # the plan is out of date; what each ratio has gained since
@@ -355,7 +357,7 @@
             self._place(now, s)
 
     def _pick(self, now: float, r: _Request) -> _Server | None:
-        areas = [self.own, self.whole] if self._local() else [self.whole]
+        areas = [self.own, self.whole] if not self._homes(r) and self._local() else [self.whole]
         for lax in range(3):  # slow servers too, then all that may be sent to
             for area in areas:
                 if s := (None if lax else self._home(now, area, r)) or self._due(now, area.heap, r, lax):
@@ -383,11 +385,21 @@
         if not area.ring:
             area.ring = sorted(p for s in {e[2].id: e[2] for e in area.heap}.values() for p in s.points)
         ring, start = area.ring, bisect(area.ring, (hash((key, RING_POINTS)), 0))
-        for i in range(start, start + min(len(ring), GROUP_WALK)):
+        few, homes = self._homes(r), dict[int, _Server]()
+        for i in range(start, start + (len(ring) if few else min(len(ring), GROUP_WALK))):
             s = ring[i % len(ring)][2]
-            if s.fit and s.key <= limit and s.id not in r.tried and self._may_send(now, r, s):
-                return s
-        return None
+            if s.fit and (few or s.key <= limit) and s.id not in r.tried and self._may_send(now, r, s):
+                homes[s.id] = s
+                if len(homes) >= few:
+                    break
+        return min(homes.values(), key=lambda s: s.key, default=None)
+
+    def _homes(self, r: _Request) -> int:
+        """How many servers of its walk a group is spread over, by its share of what came, where what is
+        carried can't tell: with less than a connection a server, many balancers would scatter it. Else 0."""
+        if r.ask.group is None or self.settings.balancers <= FEW or len(self.requests) >= self.ready:
+            return 0
+        return 1 + int(self.ready * self.seen.count(r.ask.group) / (len(self.seen) + GROUPS))
 
     def _due(self, now: float, heap: Heap, r: _Request, lax: int) -> _Server | None:
         """The server whose turn it is."""
@@ -428,6 +440,7 @@
         r = self.requests[event.id] = _Request(event, now + event.time_left)
         if r.load is not None:
             self._measure(now, r.load)
+        self.seen.append(r.ask.group)
         if self.random.random() < 6 * self.pressure - 1:
             # A fleet pushed past its load serves nobody well: from a sixth slow some, from a third all.
             return self._give_up(now, r)
@@ -511,6 +524,7 @@
         if s is not None and id not in self.requests:
             r = self.requests[id] = s.holds[id] = _Request(event.request, float("inf"))
             r.attempts, r.server, r.stands = 1, s, True
+            self.seen.append(r.ask.group)
             self._charge(s, r, 1)
 
     def _load_note(self, now: float, event: api.LoadNote) -> None:
