Lost connection-seconds accounted for by cause; lists of 1,024 runners and balancers held

Change: the log tells key, again and runner sizes; views losses and client; MOST_KEYS 1000 to 4096 in 256 buckets, rules 1000 to 4096.

--- a/aspensaddle/daemon/service.py
+++ b/aspensaddle/daemon/service.py
@@ -86,7 +86,7 @@
             if self.quic is not None:
                 self._nursery.start_soon(self._keep, self.quic.run)
             self.log.event("started", listen=self.config.listen, rev=self.config.known.rev,
-                           runners=len(self.config.known.targets))
+                           runners=[[t.uid, t.weight, t.model] for t in self.config.known.targets])
             await self._signals(signals)
 
     async def _keep(self, task: Callable[..., Awaitable[None]], *args: object) -> None:
--- a/aspensaddle/fleet/discovery.py
+++ b/aspensaddle/fleet/discovery.py
@@ -110,7 +110,7 @@
         self.counters.add("lists")
         if update.targets or update.full:
             self.log.event("list", rev=update.rev, full=update.full, targets=[
-                [t.uid, t.state.value, t.started_at] for t in update.targets])
+                [t.uid, t.state.value, t.started_at, t.weight, t.model] for t in update.targets])
         entries = self.fleet.take(update)
         self.driver.servers(update.scope, entries)
 
--- a/aspensaddle/fronts/lines/clients.py
+++ b/aspensaddle/fronts/lines/clients.py
@@ -264,8 +264,8 @@
             nursery.cancel_scope.cancel()
         if up is None and not answer and case.unruly:
             answer = b"ERR\r\n"
-        self.log.event("request", id=request.id, cls=request.cls, group=request.group, attempts=attempts,
-                       left=request.time_left,
+        self.log.event("request", id=request.id, key=request.key, cls=request.cls, group=request.group,
+                       again=request.returning, attempts=attempts, left=request.time_left,
                        at=self.fleet.uid(server) if attempts else None,
                        ms=round(1000 * (trio.current_time() - start), 1),
                        answer="UP" if up else answer.decode("latin-1").strip() or "gone")
@@ -299,7 +299,7 @@
                 if isinstance(tried, Failed):
                     await trio.sleep(ADOPT_AGAIN)
             nursery.cancel_scope.cancel()
-        self.log.event("adopted", id=request.id, cls=request.cls, group=request.group, at=at,
+        self.log.event("adopted", id=request.id, key=request.key, cls=request.cls, group=request.group, at=at,
                        up=isinstance(tried, Up))
         if isinstance(tried, Up) and server is not None:
             self.driver.adopted(case, request, server)
--- a/aspensaddle/fronts/quic/rules.py
+++ b/aspensaddle/fronts/quic/rules.py
@@ -14,7 +14,7 @@
 from aspensaddle.support.decode import DecodeError, Message, array, integer, text
 
 KEYS = {"sni", "alpn", "class", "group_label", "group_token", "group_from"}
-MOST_RULES = 1000
+MOST_RULES = 4096
 MOST_TOKEN = 128
 
 _NAME = re.compile(r"(\*\.)?[a-z0-9_-]{1,63}(\.[a-z0-9_-]{1,63})*")
--- a/aspensaddle/store/replica.py
+++ b/aspensaddle/store/replica.py
@@ -16,7 +16,7 @@
 from aspensaddle.support.counters import Counters
 from aspensaddle.support.decode import DecodeError
 
-BUCKETS_A_ROUND = 8  # compared in full after one exchange of sums; the next round takes more
+BUCKETS_A_ROUND = 32  # compared in full after one exchange of sums; the next round takes more
 BATCH = 64
 
 
--- a/aspensaddle/store/state.py
+++ b/aspensaddle/store/state.py
@@ -13,10 +13,10 @@
 
 import orjson
 
-MOST_KEYS = 1000  # removed ones count too
+MOST_KEYS = 4096  # 1,024 runners and as many balancers, and removed ones, which count too
 MOST_VALUE = 4096  # bytes, written as JSON
 AHEAD = 300_000  # ms that a version may lie ahead of this clock: a wild one would win for ever
-BUCKETS = 64
+BUCKETS = 256  # one octet of a hash; 16 keys each where all are taken
 MOST_IN_BUCKET = 50  # so that the marks of one fit into a datagram
 
 KEY = re.compile(r"[A-Za-z0-9_][A-Za-z0-9_./:-]{0,127}")
--- a/benchmarks/fleet_logs.py
+++ b/benchmarks/fleet_logs.py
@@ -1,10 +1,14 @@
-"""Counts the logs of a day over all balancers together: `python benchmarks/fleet_logs.py FOLDER [seconds|load|cold]`.
+"""Counts the logs of a day over all balancers together: `python benchmarks/fleet_logs.py FOLDER VIEW`.
 
 Each line of a log is seconds since the start of the day, then the event as `aspensaddle.support.log` writes it.
 
 - `seconds`: answers, attempts and ends of connections in each second.
 - `load`: what stands every few seconds, its load, and the pairs of group and runner (three mean loads each).
 - `cold`: what runners of each age since their start were sent and hold.
+- `losses`: where the connection-seconds that clients asked for go, second by second, and beside it what runners
+  hold for what they bear. What a runner bears is its listed weight by the speed of its kind and its warmth by the
+  slowest that the rules allow, so `overrun` is an estimate: the log does not say how long messages took.
+- `client KEY`: all that the balancers noted of one client.
 """
 
 from __future__ import annotations
@@ -18,6 +22,8 @@
 from typing import Any
 
 GROUP_COST = 3.0  # mean loads for each group that a runner holds any of (the operators' brief, 4.5)
+SPEEDS = {"fast-runner": 1.5, "plain-runner": 0.97}  # of a core, as the policy has them
+COLD, WARM_AFTER = 0.12, 24.0  # a new runner's least part, and by when it is warm at the latest (the brief, 8.2)
 EVERY, LAST = 3, 60  # seconds between the times that `load` looks at, and the last of them
 AGE = 2  # seconds of a row of `cold`
 
@@ -31,6 +37,8 @@
     group: int | None
     end: float = float("inf")
     load: float = 0.0  # 0: not told
+    key: int | None = None
+    why: str = ""  # it ended
 
 
 def events(folder: Path) -> Iterator[tuple[str, float, dict[str, Any]]]:
@@ -49,9 +57,9 @@
     every = []
     for balancer, t, e in events(folder):
         if e["event"] == "adopted" and e["up"] or e["event"] == "request" and e["answer"] == "UP":
-            every.append(open_.setdefault((balancer, e["id"]), Stay(t, e["at"], e["group"])))
+            every.append(open_.setdefault((balancer, e["id"]), Stay(t, e["at"], e["group"], key=e.get("key"))))
         elif e["event"] == "ended" and (stay := open_.pop((balancer, e["id"]), None)):
-            stay.end, stay.load = t, e.get("load") or 0.0
+            stay.end, stay.load, stay.why = t, e.get("load") or 0.0, e["outcome"]
     return every
 
 
@@ -96,7 +104,7 @@
     started: dict[str, float] = {}
     for _, t, e in events(folder):
         if e["event"] == "list":
-            started.update({uid: boot - e["t"] + t for uid, _, boot in e["targets"] if boot})
+            started.update({uid: boot - e["t"] + t for uid, _, boot, *_ in e["targets"] if boot})
     started = {uid: t for uid, t in started.items() if t > 0}
     every = [s for s in stays(folder) if s.server in started]
     mean = mean_load(every)
@@ -110,9 +118,76 @@
                   f"{sum(s.load or mean for s in held) / n:.2f}")
 
 
+def bears(folder: Path) -> dict[str, tuple[float, float]]:
+    """What each runner bears when warm, and when it started."""
+    runners: dict[str, tuple[float, float]] = {}
+    for _, t, e in events(folder):
+        if e["event"] == "started":
+            for uid, weight, model in e["runners"]:
+                runners.setdefault(uid, (weight * SPEEDS.get(model, 1.0), -WARM_AFTER))
+        elif e["event"] == "list":
+            for uid, _, boot, weight, model in e["targets"]:
+                since = boot - e["t"] + t if boot else -WARM_AFTER
+                if uid not in runners or since > runners[uid][1] + 1:
+                    runners[uid] = weight * SPEEDS.get(model, 1.0), since
+    return runners
+
+
+def by_loss(folder: Path) -> None:
+    every, fleet = stays(folder), bears(folder)
+    mean = mean_load(every)
+    noted: dict[int, list[tuple[float, str]]] = defaultdict(list)  # of each client: from when on it was what
+    for _, t, e in events(folder):
+        if e["event"] == "request" and e["answer"] != "gone":
+            noted[e["key"]] += [(t - e["ms"] / 1000, "first" if e["key"] not in noted else ""),
+                                (t, "" if e["answer"] == "UP" else "refused")]
+    for s in every:
+        if s.key is not None:
+            noted[s.key] += [(s.start, f"on {s.server}"), (s.end, "done" if s.why == "ok" else s.why)]
+    last = int(max((t for some in noted.values() for t, _ in some if t < float("inf")), default=0.0))
+    totals = Counter[str]()
+    for t in range(1, last):
+        at, load, groups = t + 0.5, Counter[str](), defaultdict[str, set[int | None]](set)
+        for s in every:
+            if s.start <= at < s.end:
+                load[s.server] += s.load or mean
+                groups[s.server].add(s.group)
+        for server, of in groups.items():
+            load[server] += GROUP_COST * mean * len(of)
+        kinds = Counter[str]()
+        for some in noted.values():
+            state = ""
+            for when, what in sorted(some, key=lambda x: x[0]):
+                if when > at:
+                    break
+                state = what or state
+            if state.startswith("on "):
+                weight, since = fleet.get(server := state[3:], (1.0, -WARM_AFTER))
+                warmth = min(1.0, COLD + (1 - COLD) * max(0.0, at - since) / WARM_AFTER)
+                state = ("cold" if at - since < WARM_AFTER else "warm") + \
+                    (" overrun" if load[server] > weight * warmth else "")
+            if state not in ("", "done"):
+                kinds[state] += 1
+        totals += kinds
+        new = [uid for uid, (_, since) in fleet.items() if 0 < since <= at]
+        room = sum(w for w, since in fleet.values() if since <= 0)
+        print(t, dict(sorted(kinds.items())), f"pairs {sum(map(len, groups.values()))}, load on old "
+              f"{sum(n for uid, n in load.items() if uid not in new):.0f} of {room:.0f} at most, on {len(new)} new "
+              f"{sum(load[uid] for uid in new):.1f} of {sum(fleet[uid][0] for uid in new):.0f}")
+    print("connection-seconds in all:", dict(totals.most_common()))
+
+
+def one_client(folder: Path) -> None:
+    key = int(sys.argv[3])
+    ids = {e["id"] for _, _, e in events(folder) if e.get("key") == key}
+    for t, name, e in sorted(((t, n, e) for n, t, e in events(folder) if e.get("id") in ids), key=lambda x: x[0]):
+        print(t, name, json.dumps({k: v for k, v in e.items() if k not in ("t", "name", "key")}))
+
+
 def main() -> int:
-    what = {"seconds": by_second, "load": by_load, "cold": by_age}
-    if not 2 <= len(sys.argv) <= 3 or (name := (sys.argv[2:] or ["seconds"])[0]) not in what:
+    what = {"seconds": by_second, "load": by_load, "cold": by_age, "losses": by_loss, "client": one_client}
+    name = (sys.argv[2:] or ["seconds"])[0]
+    if len(sys.argv) != (4 if name == "client" else 3 if sys.argv[2:] else 2) or name not in what:
         print(__doc__, file=sys.stderr)
         return 2
     what[name](Path(sys.argv[1]))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -14,7 +14,7 @@
 from aspensaddle.daemon.stored import runners_update
 from aspensaddle.store.messages import DATAGRAM, Entries, Marks, Sums, Wants, in_datagrams, seal, unseal
 from aspensaddle.store.settings import parse_store
-from aspensaddle.store.state import MOST_IN_BUCKET, MOST_KEYS, MOST_VALUE, Entry, State, StoreError
+from aspensaddle.store.state import BUCKETS, MOST_IN_BUCKET, MOST_KEYS, MOST_VALUE, Entry, State, StoreError
 from aspensaddle.support.decode import DecodeError
 
 KEY = bytes(range(16))
@@ -69,8 +69,8 @@
         state.put("k", "\ud800")
     assert len(state.merge(Entry(f"k{i}", 1, "n1", "x") for i in range(3 * MOST_KEYS))) == MOST_KEYS
     assert state.merge([Entry("k1", 2, "n1", None)])  # a known key still changes
-    assert max(len(state.marks(b)) for b in range(64)) <= MOST_IN_BUCKET
-    for b in range(64):
+    assert max(len(state.marks(b)) for b in range(BUCKETS)) <= MOST_IN_BUCKET
+    for b in range(BUCKETS):
         assert len(seal(KEY, "n" * 64, NOW, Marks(b, {k.ljust(128, "x"): m for k, m in state.marks(b).items()}))) < DATAGRAM
 
 
@@ -82,7 +82,7 @@
     assert all(len(seal(KEY, "n" * 64, NOW, p)) <= DATAGRAM for p in parts)
 
 
-@pytest.mark.parametrize("body", [Sums([""] * 64), Marks(3, {"k": "00"}), Wants(["a", "b"]),
+@pytest.mark.parametrize("body", [Sums([""] * BUCKETS), Marks(3, {"k": "00"}), Wants(["a", "b"]),
                                   Entries([Entry("k", 1, "n1", None), Entry("l", 2, "n1", "v")])])
 def test_messages_are_read_by_the_key_s_holders_now(body):
     data = seal(KEY, "n1", NOW, body)
