Clients cut off wait while breaks are seen; cold runners take a drawn share of what comes

Lines at fault: _request placed every client that came again at once, whatever had cut it off.

While a balancer sees breaks, of clients that come again the part b / (1 + b) is told BUSY with a wait (only with more than 2.5 balancers). A cold runner takes a share drawn by request, from what the fleet is asked by the balancer's own view, and comes before a group's warm homes; the debt is gone.

--- a/aspensaddle/core/balance.py
+++ b/aspensaddle/core/balance.py
@@ -33,6 +33,8 @@
 HOLDS = 2.0  # a connection that has stood for so long was not dropped as soon as it was up
 SLOW_PART, SLOW_LASTS = 1 / 3, 2.5  # of the message aim, where notes begin; seconds, two notes missed
 FEW = 2.5  # balancers on an ordinary day (the operators' brief, 1.1)
+POPULAR = 3.0  # even parts of what comes that a server may get: shares of groups are guessed from few requests
+FORGETS = 0.8  # a second: what is left of the breaks that were seen
 
 NO_FAULT = (api.Outcome.OK, api.Outcome.VOID, api.Outcome.CANCELLED)  # say nothing against the server
 
@@ -51,10 +53,9 @@
         self.groups = Counter[int]()  # of the connections here, standing or on their way
         self.holds: dict[str, _Request] = {}  # connections that stand
         self.fails, self.aside_until, self.slow_until, self.noted_at = 0, 0.0, 0.0, 0.0
-        self.drops, self.dropped_at = False, 0.0  # whether and when it dropped a connection that was just up
-        self.credit = self.earned_at = 0.0
+        self.drops, self.dropped_at, self.filled_at = False, 0.0, 0.0  # as soon as it was up; last sent one
         self.fit = False  # counts in its areas' shares
-        # The hash of integers is the same in every process, so that all balancers lay the same ring.
+        # Hashes of integers are the same everywhere: all balancers lay the same ring.
         self.points = [(hash((self.id, i)), self.id, self) for i in range(RING_POINTS)]
         self.weight, self.started, self.ready = 1.0, 0.0, False
 
@@ -91,7 +92,7 @@
     """A request or the connection it became."""
 
     def __init__(self, ask: api.Request, deadline: float) -> None:
-        self.ask, self.deadline, self.load = ask, deadline, ask.load
+        self.ask, self.deadline, self.load, self.draw = ask, deadline, ask.load, 0.0
         self.attempts, self.sent_at, self.stands, self.up_at = 0, 0.0, False, 0.0
         self.tried: list[int] = []
         self.server: _Server | None = None
@@ -111,11 +112,12 @@
         self.own, self.whole = _Area(), _Area()
         self.seen = deque[int | None](maxlen=SEEN)  # groups of those that came
         self.restless: dict[int, _Server] = {}  # servers that time alone changes: set aside, slow or cold
-        self.slot = self.ready = 0
+        self.slot = self.ready = self.cold = 0
         self.dirty, self.raised = True, 0.0  # the plan is out of date; what each ratio has gained since
         self.mean, self.measures, self.planned = 1.0, 0, 1.0  # load of a connection; at the last plan
-        self.held = self.typical = self.pressure = 0.0  # load carried in all; by a server; part of them slow
-        self.blind = 0.0  # part of the balancers that are not told of a slow server, as this one judges
+        self.held = self.typical = 0.0  # load carried in all; by a server
+        self.pressure = self.blind = 0.0  # part of the servers slow; of the balancers not told, as this one judges
+        self.broke, self.came = 0.0, SLOTS * TICK  # breaks seen and requests placed, fading; as if one a second came
         self.handlers: dict[type, Callable[..., list[api.Action] | None]] = {
             api.Started: self._started, api.TimerFired: self._timer_fired, api.Ended: self._ended,
             api.ServersChanged: self._servers_changed, api.Request: self._request, api.Adopted: self._adopted,
@@ -127,6 +129,7 @@
         self.settings, self.rules, self.limits = settings, settings.rules, settings.limits
         self.message_aim = max(1e-3, min(c.message_aim for c in settings.classes))
         self.group_cost = GROUP_COST if settings.groups else 0.0
+        self.many = max(0.0, 1 - FEW / settings.balancers)  # 0 on an ordinary day
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         return (self.handlers.get(type(event)) or (lambda *_: None))(now, event) or []
@@ -173,8 +176,6 @@
         for s in joined:
             s.ready = s.ready and s.id in self.servers
             s.ratio, s.fails, s.aside_until, s.slow_until, s.drops = 0.0, 0, 0.0, 0.0, False
-            # A cold one waits for a random part of a connection, lest all balancers greet it at once.
-            s.credit, s.earned_at = -self.random.random() * self.mean, now
         ready = [s for s in self.servers.values() if s.ready]
         old = [s.ratio for s in ready if s.ratio]
         for s in ready:
@@ -185,6 +186,7 @@
         self.own.ring, self.whole.ring = [], []
         for s in joined:
             self._place(now, s)
+        self._look(now)
 
     def _warmth(self, now: float, s: _Server) -> float:
         """The least part of its capacity that a server has by now."""
@@ -192,16 +194,18 @@
             return 1.0
         return 1 - (1 - self.rules.cold_share) * (1 - max(0.0, now - s.started) / self.rules.warm_after)
 
-    def _cold(self, now: float, s: _Server) -> bool:
-        """Guards against all balancers together pushing a cold server over: each sends it no more than fills
-        what it can do by now within the warm-up, judged by what the others carry for this balancer, or by its
-        part of the cores that are listed: where balancers are many, each carries next to nothing."""
+    def _cold(self, now: float, r: _Request, s: _Server) -> bool:
+        """Guards against all balancers together pushing a cold server over: each lets so much of what comes, at
+        random, go to cold ones that all keep the rule. A debt of each would let next to nothing of many through."""
         if (warmth := self._warmth(now, s)) >= 1.0:
             return False
-        full = max(self.typical, s.weight / self.settings.balancers)
-        rate = full * warmth / self.rules.warm_after * self.rules.tip_multiple / 2
-        s.credit, s.earned_at = min(0.0, s.credit + rate * (now - s.earned_at)), now
-        return s.credit < 0
+        full = s.weight if self.measures else self.typical * self.settings.balancers  # what it bears when warm
+        may = max(1e-9, self.rules.tip_multiple * full * warmth / self.rules.warm_after)
+        # One draw for a request, not one for each cold server that it looks at: these share what is let through.
+        one = self.settings.balancers * self.mean  # what all send if each sends one
+        asked = one * self.came / (SLOTS * TICK) * min(1.0, POPULAR / max(1, self.cold))
+        r.draw = r.draw or self.random.random()
+        return now < s.filled_at + 2 * one / may or r.draw * asked >= may
 
     # ------------------------------------------------------------ counters and ratios
 
@@ -221,6 +225,7 @@
             if self.slot % 2 or s.fit != (s.aside_until <= now and s.slow_until <= now):  # warmth can wait
                 self._place(now, s)
         self._look(now)
+        self.broke, self.came = self.broke * FORGETS, self.came * (1 - 1 / SLOTS)
         self.slot = (self.slot + 1) % SLOTS
         for s in list(self.active.values()):
             s.S -= s.sends[self.slot]
@@ -235,9 +240,8 @@
         return self._even(now)
 
     def _even(self, now: float) -> list[api.Action]:
-        """Loads swing after a connection was placed, and what stands is not placed again: of the servers that
-        carry much for their cores, the one that carries most for its share loses up to DELTA of what it holds
-        a tick, while that is far over the fleet's mean."""
+        """Loads swing after a connection was placed: of the servers that carry much for their cores, the one that
+        carries most for its share loses up to DELTA of what it holds a tick, while that is far over the mean."""
         laden = [s for s in self.servers.values() if s.holds and s.share
                  and s.carried > LADEN * s.share * self.ready]
         if not laden or not self.measures or not 0 < (level := self.whole.level()) < float("inf"):
@@ -302,19 +306,16 @@
         return (self.own, self.whole) if s.zone == self.settings.zone else (self.whole,)
 
     def _measure(self, now: float, load: float) -> None:
-        if not self.measures:  # what cold servers may be sent was reckoned in a mean that nobody had told
-            for s in self.servers.values():
-                s.credit *= load / self.mean
         self.measures = min(self.measures + 1, 100)  # the mean follows a change of traffic
         self.mean += (load - self.mean) / self.measures
         if not DRIFT * self.planned <= self.mean <= self.planned / DRIFT:
-            # Guards against places in the rotation that were worked out with different means: after a start
-            # the first loads told set the mean, and servers without any would all look laden.
+            # Guards against places worked out with another mean: servers without a load would all look laden.
             self._plan(now)
 
     def _look(self, now: float) -> None:
         """How many of the servers that hold connections of this balancer, all it can judge by, are slow."""
         held, slow = Counter[_Area](), Counter[_Area]()
+        self.cold = sum(s.ready and self._warmth(now, s) < 1.0 for s in self.servers.values())
         for s in self.servers.values():
             if s.holds or s.slow_until > now:  # a slow one that has shed all it held must not drop from sight
                 for area in self._areas(s):
@@ -323,8 +324,7 @@
         for area in (self.own, self.whole):  # one more is held to be well, lest one be all
             area.slow = slow[area] / (held[area] + 1)
         self.pressure = self.whole.slow
-        others = max(0.0, 1 - FEW / self.settings.balancers)  # none to speak of on an ordinary day
-        self.blind = others * max(0.0, 1 - held[self.whole] / max(1, self.ready))
+        self.blind = self.many * max(0.0, 1 - held[self.whole] / max(1, self.ready))
 
     def _place(self, now: float, s: _Server) -> None:
         """Give a server its share, its turn and its part in its areas' sums as they are now."""
@@ -375,9 +375,9 @@
             own.level() <= LOCAL_EXCESS * self.settings.zones * self.whole.level()
 
     def _home(self, now: float, area: _Area, r: _Request) -> _Server | None:
-        """Each server that holds any of a group pays for it: its members go to the first server of their walk
-        round the ring that is not ahead of the rotation by more than a bounded excess. Where packets pass
-        through, keys do the same: a connection whose packets come to another balancer finds its server."""
+        """Each server that holds any of a group pays for it: its members go to the first server of their walk round
+        the ring that is not ahead of the rotation by more than a bounded excess, or a cold one that they may fill.
+        Keys do the same where packets pass through: a connection that comes to another balancer finds its server."""
         key = r.ask.key if r.ask.group is None and self.settings.pass_through else r.ask.group
         if key is None or not area.fit:
             return None
@@ -392,7 +392,7 @@
                 homes[s.id] = s
                 if len(homes) >= few:
                     break
-        return min(homes.values(), key=lambda s: s.key, default=None)
+        return min(homes.values(), key=lambda s: (self._warmth(now, s) == 1.0, s.key), default=None)
 
     def _homes(self, r: _Request) -> int:
         """How many servers of its walk a group is spread over, by its share of what came, where what is
@@ -417,9 +417,8 @@
         return chosen
 
     def _move(self, now: float, s: _Server, part: float) -> list[api.Action]:
-        """Ask part of a server's connections to come again, first those that free most: heavy ones, and those
-        that are among the last here of a group. Where most servers are slow they are refused when they come,
-        which sheds what the fleet cannot carry."""
+        """Ask part of a server's connections to come again, first those that free most: heavy ones, and the last
+        here of a group. Where most servers are slow they are then refused, which sheds what the fleet can't carry."""
         if part <= 0:
             return []
 
@@ -441,9 +440,12 @@
         if r.load is not None:
             self._measure(now, r.load)
         self.seen.append(r.ask.group)
-        if self.random.random() < 6 * self.pressure - 1:
-            # A fleet pushed past its load serves nobody well: from a sixth slow some, from a third all.
+        # A fleet pushed past its load serves nobody well: from a sixth slow some, from a third all. And clients that
+        # a server has dropped hold it down if they all come back at once: while breaks are seen some have to wait.
+        storm = self.many * event.returning * self.broke / (1 + self.broke)
+        if self.random.random() < max(6 * self.pressure - 1, storm):
             return self._give_up(now, r)
+        self.came += 1
         return self._attempt(now, r)
 
     def _may_send(self, now: float, r: _Request, s: _Server) -> bool:
@@ -455,7 +457,7 @@
                 return False
             if not same and cls.group is not api.Group.ALL:
                 return False
-        return not self._cold(now, s)
+        return not self._cold(now, r, s)
 
     def _attempt(self, now: float, r: _Request) -> list[api.Action]:
         left = r.deadline - now
@@ -463,7 +465,7 @@
         if s is None:
             return self._give_up(now, r)
         r.attempts, r.sent_at, r.server, r.tried = r.attempts + 1, now, s, [*r.tried, s.id]
-        s.credit -= self.mean if r.load is None else r.load
+        s.filled_at = now
         if s.aside_until:  # a trial: no other attempt until it has ended
             s.aside_until = max(s.aside_until, now + left)
             self._place(now, s)
@@ -496,6 +498,7 @@
             self._accept(now, r, s, event.latency)
         elif outcome not in NO_FAULT:
             self._count(s, False)
+            self.broke += r.stands and outcome is api.Outcome.BROKEN and s.ready
             # One trim a tick is too slow for a server that is gone, or fails at once and so is always due.
             failed = not r.stands and outcome is not api.Outcome.TIMED_OUT  # that may be the store's doing
             if r.stands and outcome is api.Outcome.BROKEN and now < r.up_at + HOLDS:
--- a/tests/test_whole_fleet.py
+++ b/tests/test_whole_fleet.py
@@ -6,7 +6,10 @@
 from dataclasses import replace
 from random import Random
 
-from helpers import SETTINGS, Driver
+import pytest
+from helpers import SETTINGS, Driver, entry
+
+from aspensaddle.core.interface import Outcome, Refuse, Send, Settings
 
 BALANCERS, SERVERS, LOAD = 200, 60, 0.05
 FLEET = replace(SETTINGS, balancers=BALANCERS, groups=True)
@@ -28,3 +31,106 @@
         held[server] += n
     assert len(there) <= 4 * SERVERS  # 478 where each scatters them
     assert max(held.values()) <= 5 * BALANCERS * 5 / SERVERS
+
+
+def broken(d: Driver, times: int) -> None:
+    """Connections that stood for long are cut off by their servers."""
+    for _ in range(times):
+        send = d.place(load=LOAD)
+        d.tick(0.1)
+        d.b.requests[send.id].up_at -= 10
+        d.end(send, Outcome.BROKEN, finished=True)
+
+
+@pytest.mark.parametrize(("count", "waits"), [(1, False), (2, False), (40, True), (BALANCERS, True)])
+def test_clients_that_were_cut_off_wait_while_breaks_are_seen_and_only_they_and_no_longer(count, waits):
+    """A server that has dropped all it held is held down by clients that come back at once, and no balancer of many
+    can tell which server that is."""
+    d = Driver(SERVERS, replace(SETTINGS, balancers=count))
+
+    def refused(returning: bool) -> int:
+        answers = [d.ask(load=LOAD, returning=returning)[0] for _ in range(100)]
+        assert all(0 < a.retry_after <= SETTINGS.limits.max_retry_after for a in answers if isinstance(a, Refuse))
+        return sum(isinstance(a, Refuse) for a in answers)
+
+    assert refused(True) == 0
+    broken(d, 8)
+    assert (refused(True) > 60) is waits and refused(False) == 0
+    for _ in range(30):
+        d.tick()
+    assert refused(True) <= 10
+
+
+OLD, SECONDS = 16, 10.0
+STARTS = [7 * n / 24 for n in range(24)]  # six in ten servers are replaced within 7 s
+
+
+def joining(count: int, settings: Settings, groups: int, asked: float) -> dict[int, list[float]]:
+    """Six in ten servers start while each mean server is asked for `asked` connections a second, at some balancers
+    several times the mean, of groups of sizes by Zipf: at which ages each new one was sent a connection."""
+    draw, now, servers = Random(count), 1000.0, OLD + len(STARTS)
+    entries = [entry(n, weight=2.0, started_at=now + start) for n, start in enumerate(STARTS)]
+    entries += [entry(n, weight=2.0) for n in range(len(STARTS), servers)]
+    drivers = [Driver([e for e in entries if not e.started_at], settings, seed=n) for n in range(count)]
+    busy, sizes = [1 / (1 + n) ** 0.5 for n in range(count)], [1 / (1 + g) for g in range(groups)]
+    sent: dict[int, list[float]] = {n: [] for n in range(len(STARTS))}
+    for step in range(int(SECONDS / 0.5)):
+        t = now + step / 2
+        for d in drivers:
+            if step % 2:
+                d.tick(0.5)
+            d.now = t
+            d.list(*(e for e in entries if t <= e.started_at + 2.0 < t + 0.5))  # the list is 2 s late
+        for d in draw.choices(drivers, busy, k=int(asked * servers / 2)):
+            (send,) = d.ask(load=LOAD, group=draw.choices(range(groups), sizes)[0] if groups else None)
+            if isinstance(send, Send):
+                d.stand(send)
+                if send.server in sent:
+                    sent[send.server].append(t - entries[send.server].started_at)
+    return sent
+
+
+def can(settings: Settings, age: float, bears: float = 2.0) -> float:
+    """The load a second by which a new server is filled within its warm-up, at worst."""
+    rules = settings.rules
+    warmth = rules.cold_share + (1 - rules.cold_share) * min(1.0, age / rules.warm_after)
+    return bears * warmth / rules.warm_after
+
+
+@pytest.mark.parametrize("warm_after", [8.0, 60.0])
+@pytest.mark.parametrize("groups", [0, 1, 38])
+@pytest.mark.parametrize("count", [3, 40, 230])
+def test_new_servers_are_sent_no_more_by_all_together_than_the_rule_lets_them(count, groups, warm_after):
+    """Also where more is asked for than in an ordinary second, by few groups, and mostly at some balancers."""
+    rules = replace(SETTINGS.rules, warm_after=warm_after)
+    settings = replace(SETTINGS, balancers=count, groups=groups > 0, rules=rules)
+    sent = joining(count, settings, groups=groups, asked=3.0)
+    window, chance = 2 * rules.fall, 6 * LOAD  # two windows of the rule, lest a few connections be all
+    for some in sent.values():
+        for first in some:
+            load = LOAD * sum(first <= age < first + window for age in some)
+            assert load - chance <= rules.tip_multiple * window * can(settings, first + window)
+
+
+@pytest.mark.parametrize(("count", "groups"), [(3, 38), (40, 38), (230, 38), (230, 1)])
+def test_new_servers_hold_a_part_of_what_comes_before_they_are_half_warm(count, groups):
+    """A debt of each balancer lets one connection in minutes through where they are many."""
+    settings = replace(SETTINGS, balancers=count, groups=True)
+    sent = joining(count, settings, groups=groups, asked=0.8)
+    even = 0.8 * LOAD * sum(SECONDS - start for start in STARTS)
+    assert sum(LOAD * len(some) for some in sent.values()) >= even / 12
+
+
+@pytest.mark.parametrize("rules", [
+    replace(SETTINGS.rules, cold_share=0.0), replace(SETTINGS.rules, tip_multiple=0.0),
+    replace(SETTINGS.rules, warm_after=0.0), replace(SETTINGS.rules, warm_after=1e6)])
+@pytest.mark.parametrize("weight", [0.0, 1.0])
+def test_settings_at_their_ends_leave_every_request_answered(rules, weight):
+    """Also where no load is told, every server is cold, and a new configuration makes warm ones cold."""
+    d = Driver([entry(n, weight=weight, started_at=1000.0) for n in range(3)], replace(SETTINGS, balancers=BALANCERS))
+    for settings in (replace(SETTINGS, rules=rules), SETTINGS):
+        for group in (None, 1):
+            (action,) = d.ask(group=group)
+            assert isinstance(action, Refuse | Send)
+            d.tick()
+        d.b.configure(settings)
