Cold runners: what comes to each is reckoned by how many servers a request may go to

Cause: with one of 12 servers cold and 40 balancers, the bound took every request for one that looks at the cold server, and 0.15 of load came to stand there instead of a third of an even part (tests/test_fleet.py failed). Tests in lock step hold as before.

--- a/aspensaddle/core/balance.py
+++ b/aspensaddle/core/balance.py
@@ -33,7 +33,7 @@
 HOLDS = 2.0  # a connection that has stood for so long was not dropped as soon as it was up
 SLOW_PART, SLOW_LASTS = 1 / 3, 2.5  # of the message aim, where notes begin; seconds, two notes missed
 FEW = 2.5  # balancers on an ordinary day (the operators' brief, 1.1)
-POPULAR = 3.0  # even parts of what comes that a server may get: shares of groups are guessed from few requests
+POPULAR = 3.0  # even parts of what comes that a server may get: shares of groups are guessed from few
 FORGETS = 0.8  # a second: what is left of the breaks that were seen
 
 NO_FAULT = (api.Outcome.OK, api.Outcome.VOID, api.Outcome.CANCELLED)  # say nothing against the server
@@ -55,8 +55,7 @@
         self.fails, self.aside_until, self.slow_until, self.noted_at = 0, 0.0, 0.0, 0.0
         self.drops, self.dropped_at, self.filled_at = False, 0.0, 0.0  # as soon as it was up; last sent one
         self.fit = False  # counts in its areas' shares
-        # Hashes of integers are the same everywhere: all balancers lay the same ring.
-        self.points = [(hash((self.id, i)), self.id, self) for i in range(RING_POINTS)]
+        self.points = [(hash((self.id, i)), self.id, self) for i in range(RING_POINTS)]  # alike everywhere
         self.weight, self.started, self.ready = 1.0, 0.0, False
 
     def update(self, entry: api.ServerEntry, kinds: tuple[str, ...]) -> None:
@@ -116,8 +115,8 @@
         self.dirty, self.raised = True, 0.0  # the plan is out of date; what each ratio has gained since
         self.mean, self.measures, self.planned = 1.0, 0, 1.0  # load of a connection; at the last plan
         self.held = self.typical = 0.0  # load carried in all; by a server
-        self.pressure = self.blind = 0.0  # part of the servers slow; of the balancers not told, as this one judges
-        self.broke, self.came = 0.0, SLOTS * TICK  # breaks seen and requests placed, fading; as if one a second came
+        self.pressure = self.blind = 0.0  # part of servers slow; of balancers not told of it
+        self.broke, self.came = 0.0, SLOTS * TICK  # breaks seen, and requests placed of late
         self.handlers: dict[type, Callable[..., list[api.Action] | None]] = {
             api.Started: self._started, api.TimerFired: self._timer_fired, api.Ended: self._ended,
             api.ServersChanged: self._servers_changed, api.Request: self._request, api.Adopted: self._adopted,
@@ -172,7 +171,7 @@
         return []
 
     def _join(self, now: float, joined: list[_Server]) -> None:
-        """Servers enter at the mean ratio with a clean record, others leave; all are rescaled to sum to 1."""
+        """Servers enter at the mean ratio with a clean record, others leave; all are scaled to sum to 1."""
         for s in joined:
             s.ready = s.ready and s.id in self.servers
             s.ratio, s.fails, s.aside_until, s.slow_until, s.drops = 0.0, 0, 0.0, 0.0, False
@@ -190,21 +189,22 @@
 
     def _warmth(self, now: float, s: _Server) -> float:
         """The least part of its capacity that a server has by now."""
-        if not s.started or not self.rules.warm_after or now >= s.started + self.rules.warm_after:
-            return 1.0
-        return 1 - (1 - self.rules.cold_share) * (1 - max(0.0, now - s.started) / self.rules.warm_after)
+        lasts = self.rules.warm_after if s.started else 0.0
+        left = 1 - max(0.0, now - s.started) / lasts if lasts else 0.0
+        return 1 - (1 - self.rules.cold_share) * max(0.0, left)
 
     def _cold(self, now: float, r: _Request, s: _Server) -> bool:
-        """Guards against all balancers together pushing a cold server over: each lets so much of what comes, at
-        random, go to cold ones that all keep the rule. A debt of each would let next to nothing of many through."""
+        """Guards against all balancers together pushing a cold server over: each lets so much of what comes,
+        at random, go to cold ones that all keep the rule. A debt of each lets next to nothing through."""
         if (warmth := self._warmth(now, s)) >= 1.0:
             return False
-        full = s.weight if self.measures else self.typical * self.settings.balancers  # what it bears when warm
+        full = s.weight if self.measures else self.typical * self.settings.balancers  # that of a warm one
         may = max(1e-9, self.rules.tip_multiple * full * warmth / self.rules.warm_after)
-        # One draw for a request, not one for each cold server that it looks at: these share what is let through.
         one = self.settings.balancers * self.mean  # what all send if each sends one
-        asked = one * self.came / (SLOTS * TICK) * min(1.0, POPULAR / max(1, self.cold))
-        r.draw = r.draw or self.random.random()
+        looks = self._homes(r) or self.ready / max(1, self.ready - len(self.requests))  # servers it may go to
+        part = POPULAR * min(looks / max(1, self.ready), 1 / max(1, self.cold))
+        asked = one * self.came / (SLOTS * TICK) * part
+        r.draw = r.draw or self.random.random()  # one for all cold servers that it meets
         return now < s.filled_at + 2 * one / may or r.draw * asked >= may
 
     # ------------------------------------------------------------ counters and ratios
@@ -240,8 +240,8 @@
         return self._even(now)
 
     def _even(self, now: float) -> list[api.Action]:
-        """Loads swing after a connection was placed: of the servers that carry much for their cores, the one that
-        carries most for its share loses up to DELTA of what it holds a tick, while that is far over the mean."""
+        """Loads swing after a connection was placed: of servers that carry much for their cores, the one with
+        most for its share loses up to DELTA of what it holds a tick, while that is far over the mean."""
         laden = [s for s in self.servers.values() if s.holds and s.share
                  and s.carried > LADEN * s.share * self.ready]
         if not laden or not self.measures or not 0 < (level := self.whole.level()) < float("inf"):
@@ -375,9 +375,9 @@
             own.level() <= LOCAL_EXCESS * self.settings.zones * self.whole.level()
 
     def _home(self, now: float, area: _Area, r: _Request) -> _Server | None:
-        """Each server that holds any of a group pays for it: its members go to the first server of their walk round
-        the ring that is not ahead of the rotation by more than a bounded excess, or a cold one that they may fill.
-        Keys do the same where packets pass through: a connection that comes to another balancer finds its server."""
+        """Each server that holds any of a group pays for it: its members go to the first server of their walk
+        round the ring that is not ahead of the rotation by more than a bounded excess, to cold ones first.
+        Where packets pass through, keys do the same: at another balancer a connection finds its server."""
         key = r.ask.key if r.ask.group is None and self.settings.pass_through else r.ask.group
         if key is None or not area.fit:
             return None
@@ -417,8 +417,8 @@
         return chosen
 
     def _move(self, now: float, s: _Server, part: float) -> list[api.Action]:
-        """Ask part of a server's connections to come again, first those that free most: heavy ones, and the last
-        here of a group. Where most servers are slow they are then refused, which sheds what the fleet can't carry."""
+        """Ask part of a server's connections to come again, first those that free most: heavy ones, the last
+        of a group. Where most servers are slow they are then refused: that sheds what can't be carried."""
         if part <= 0:
             return []
 
@@ -440,8 +440,8 @@
         if r.load is not None:
             self._measure(now, r.load)
         self.seen.append(r.ask.group)
-        # A fleet pushed past its load serves nobody well: from a sixth slow some, from a third all. And clients that
-        # a server has dropped hold it down if they all come back at once: while breaks are seen some have to wait.
+        # A fleet pushed past its load serves nobody well: from a sixth slow some, from a third all. And what
+        # a server has dropped holds it down if all come back at once: while breaks are seen some must wait.
         storm = self.many * event.returning * self.broke / (1 + self.broke)
         if self.random.random() < max(6 * self.pressure - 1, storm):
             return self._give_up(now, r)
