--- a/aspensaddle/core/balance.py
+++ b/aspensaddle/core/balance.py
@@ -12,20 +12,21 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 from random import Random
-from typing import TypeAlias
 
 import aspensaddle.core.interface as api
+from aspensaddle.core.records import RING_POINTS, Area, Case, Heap, Server
+from aspensaddle.core.reports import probe_every, told
+from aspensaddle.core.shares import Shares
+from aspensaddle.core.window import SLOTS
 
-SLOTS, TICK = 10, 1.0  # m and T: trouble lasts seconds, and ten of them let sparse traffic leave a trace
-SPEEDS = {"fast-runner": 1.5, "plain-runner": 0.97}  # of a core: the middles in the operators' brief, 3
+TICK = 1.0  # T: trouble lasts seconds, and ten of them let sparse traffic leave a trace
 DELTA = 0.1  # the part that the worst server loses at a time; the paper's figure
 LOCAL_EXCESS = 1.25  # how far above the fleet's mean the own zone may be loaded to save crossings
 LOCAL_LOAD = 0.35  # of a core, for each core that is listed: how far it may be loaded for that at all
-GROUP_COST = 3.0  # mean loads that a server pays for each group it holds any of (the operators' brief, 4.5)
 GROUP_EXCESS = 1.1  # how far above its area's mean a server may be loaded to keep a group whole
 KEY_EXCESS = 1.5  # and to be found again by a key
 GROUPS, SEEN = 16, 100  # groups there may be, until those of the last requests, so many, tell their shares
-RING_POINTS, GROUP_WALK = 8, 16  # places of a server on the ring, to even out gaps; places a group looks at
+GROUP_WALK = 16  # places of the ring that a group looks at
 LADEN = 0.3  # of a core, for each core that is listed: from where a server may lose what stands on it
 EVEN_EXCESS = 1.5  # how far above the fleet's mean it must be for that
 DRIFT = 0.8  # of the mean load at the last plan, and its inverse: what the plan allows it
@@ -33,102 +34,55 @@
 HOLDS = 2.0  # a connection that has stood for so long was not dropped as soon as it was up
 SLOW_PART, SLOW_LASTS = 1 / 3, 2.5  # of the message aim, where notes begin; seconds, two notes missed
 FEW = 2.5  # balancers on an ordinary day (the operators' brief, 1.1)
+FULL, OVER = 0.85, 0.65  # of what a server can do: nothing more is placed there; by tenants over their share
+LEAVE = 0.95  # of the same: what is asked beyond leaves
 POPULAR = 3.0  # even parts of what comes that a server may get: shares of groups are guessed from few
 FORGETS = 0.8  # a second: what is left of the breaks that were seen
 
 NO_FAULT = (api.Outcome.OK, api.Outcome.VOID, api.Outcome.CANCELLED)  # say nothing against the server
 
-Heap: TypeAlias = list[tuple[float, int, "_Server"]]
 
-
-class _Server:
-    """What this balancer knows of one server."""
-
-    def __init__(self, entry: api.ServerEntry, phase: float) -> None:
-        self.id, self.zone, self.cell = entry.server, entry.zone, entry.cell
-        self.phase = phase  # a random place in the first round, so that balancers do not march in step
-        self.ratio = self.share = self.key = 0.0  # r; r by weight and warmth; load at which its turn comes
-        self.sends, self.accepts, self.S, self.A = [0] * SLOTS, [0] * SLOTS, 0, 0
-        self.known, self.unknown, self.carried = 0.0, 0, 0.0  # load told, connections of untold load, both
-        self.groups = Counter[int]()  # of the connections here, standing or on their way
-        self.holds: dict[str, _Request] = {}  # connections that stand
-        self.fails, self.aside_until, self.slow_until, self.noted_at = 0, 0.0, 0.0, 0.0
-        self.drops, self.dropped_at, self.filled_at = False, 0.0, 0.0  # as soon as it was up; last sent one
-        self.fit = False  # counts in its areas' shares
-        self.points = [(hash((self.id, i)), self.id, self) for i in range(RING_POINTS)]  # alike everywhere
-        self.weight, self.started, self.ready = 1.0, 0.0, False
-
-    def update(self, entry: api.ServerEntry, kinds: tuple[str, ...]) -> None:
-        speed = SPEEDS.get(kinds[entry.kind], 1.0) if 0 <= entry.kind < len(kinds) else 1.0
-        self.weight, self.started = entry.weight * speed, entry.started_at  # 0: long ago
-        self.ready = entry.state is api.ServerState.READY
-
-    def rank(self) -> tuple[float, int]:
-        """R, then the bare count of failures; sends without any accept rank worst."""
-        missed = self.S - self.A
-        return (missed / self.A if self.A else float("inf") if missed else 0.0, missed)
-
-
-class _Area:
-    """The rotation over the servers of the own zone, or of the whole fleet."""
-
-    def __init__(self) -> None:
-        self.ring: list[tuple[int, int, _Server]] = []  # the order in which groups look for a home
-        self.slow = 0.0  # part of the servers on which this balancer holds connections
-        self.fit, self.share, self.carried = 0, 0.0, 0.0  # of the servers that are fit
-        self.heap: Heap = []  # the rotation: whose turn comes first
-
-    def level(self) -> float:  # load carried for each part of the share
-        return self.carried / self.share / (1 - self.slow) if self.fit and self.slow < 1 else float("inf")
-
-    def count(self, s: _Server, sign: int) -> None:
-        self.fit += sign
-        self.share = self.share + sign * s.share if self.fit else 0.0  # no crumbs of rounding
-        self.carried = self.carried + sign * s.carried if self.fit else 0.0
-
-
-class _Request:
-    """A request or the connection it became."""
-
-    def __init__(self, ask: api.Request, deadline: float) -> None:
-        self.ask, self.deadline, self.load, self.draw = ask, deadline, ask.load, 0.0
-        self.attempts, self.sent_at, self.stands, self.up_at = 0, 0.0, False, 0.0
-        self.tried: list[int] = []
-        self.server: _Server | None = None
-        self.ran_on: _Server | None = None  # where the first attempt that may have run went
-        self.ran_at = 0.0
+def _rank(s: Server) -> tuple[float, int]:
+    """R, then the bare count of failures; sends without any accept rank worst."""
+    missed, accepts = s.window.sends - s.window.accepts, s.window.accepts
+    return (missed / accepts if accepts else float("inf") if missed else 0.0, missed)
 
 
 class Balancer:
     """Decides for one balancer. `handle` takes the time and an event and returns the actions to carry out."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.shares = Shares()
         self.configure(settings)
         self.random, self.ask_failures = Random(seed), 0
-        self.servers: dict[int, _Server] = {}
-        self.requests: dict[str, _Request] = {}
-        self.active: dict[int, _Server] = {}  # servers with a count in the window
-        self.own, self.whole = _Area(), _Area()
+        self.servers: dict[int, Server] = {}
+        self.requests: dict[str, Case] = {}
+        self.active: dict[int, Server] = {}  # servers with a count in the window
+        self.own, self.whole = Area(), Area()
         self.seen = deque[int | None](maxlen=SEEN)  # groups of those that came
-        self.restless: dict[int, _Server] = {}  # servers that time alone changes: set aside, slow or cold
+        self.restless: dict[int, Server] = {}  # servers that time alone changes: set aside, slow or cold
         self.slot = self.ready = self.cold = 0
         self.dirty, self.raised = True, 0.0  # the plan is out of date; what each ratio has gained since
         self.mean, self.measures, self.planned = 1.0, 0, 1.0  # load of a connection; at the last plan
         self.held = self.typical = 0.0  # load carried in all; by a server
+        self.mine = self.bears = 0.0  # load of this balancer in all; what a warm server can do, by reports
+        self.stand = 0.0  # connections of all balancers, by reports
         self.pressure = self.blind = 0.0  # part of servers slow; of balancers not told of it
         self.broke, self.came = 0.0, SLOTS * TICK  # breaks seen, and requests placed of late
         self.handlers: dict[type, Callable[..., list[api.Action] | None]] = {
             api.Started: self._started, api.TimerFired: self._timer_fired, api.Ended: self._ended,
             api.ServersChanged: self._servers_changed, api.Request: self._request, api.Adopted: self._adopted,
             api.Established: self._established, api.LoadNote: self._load_note,
-            api.DelayNote: self._delay_note, api.ClientGone: self._client_gone}
+            api.DelayNote: self._delay_note, api.ClientGone: self._client_gone, api.ProbeResult: self._probed}
 
     def configure(self, settings: api.Settings) -> None:
         """Take settings, at the start or later. Classes and zones keep the numbers that they have."""
         self.settings, self.rules, self.limits = settings, settings.rules, settings.limits
         self.message_aim = max(1e-3, min(c.message_aim for c in settings.classes))
-        self.group_cost = GROUP_COST if settings.groups else 0.0
+        self.group_cost = settings.group_cost if settings.groups else 0.0
         self.many = max(0.0, 1 - FEW / settings.balancers)  # 0 on an ordinary day
+        self.shares.quotas, self.reports = settings.tenant_connections, told(settings)
+        self.seen_by = settings.balancers if self.reports else 1  # whose load the sums tell
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         return (self.handlers.get(type(event)) or (lambda *_: None))(now, event) or []
@@ -153,24 +107,24 @@
             wait = min(max(1.0, self.rules.must_ask_in), 0.5 * 2 ** min(self.ask_failures, 10))
             return [api.SetTimer("watch", self.random.uniform(wait / 2, wait))]
         self.ask_failures = 0
-        joined: list[_Server] = []  # or left
+        joined: list[Server] = []  # or left
         if event.scope is not api.ListScope.CHANGES:
             named = {e.server for e in event.entries}
             joined = [self.servers.pop(n) for n in list(self.servers) if n not in named]
         for e in event.entries:
             known = e.server in self.servers
-            s = self.servers[e.server] = self.servers.get(e.server) or _Server(e, self.random.random())
+            s = self.servers[e.server] = self.servers.get(e.server) or Server(e, self.random.random())
             if not known or e.started_at != s.started or (e.state is api.ServerState.READY) != s.ready:
                 joined.append(s)
-            s.update(e, self.settings.kinds)
+            s.update(e, self.settings.speeds)
             if e.state is api.ServerState.GONE:  # forgotten, lest a long life gather all that ever ran
                 del self.servers[e.server]
         if joined:
             self._join(now, joined)
         self.dirty = True
-        return []
+        return self._ask(now)
 
-    def _join(self, now: float, joined: list[_Server]) -> None:
+    def _join(self, now: float, joined: list[Server]) -> None:
         """Servers enter at the mean ratio with a clean record, others leave; all are scaled to sum to 1."""
         for s in joined:
             s.ready = s.ready and s.id in self.servers
@@ -187,18 +141,18 @@
             self._place(now, s)
         self._look(now)
 
-    def _warmth(self, now: float, s: _Server) -> float:
+    def _warmth(self, now: float, s: Server) -> float:
         """The least part of its capacity that a server has by now."""
-        lasts = self.rules.warm_after if s.started else 0.0
-        left = 1 - max(0.0, now - s.started) / lasts if lasts else 0.0
-        return 1 - (1 - self.rules.cold_share) * max(0.0, left)
+        return self.rules.warmth(now - s.started) if s.started else 1.0
 
-    def _cold(self, now: float, r: _Request, s: _Server) -> bool:
+    def _cold(self, now: float, r: Case, s: Server) -> bool:
         """Guards against all balancers together pushing a cold server over: each lets so much of what comes,
         at random, go to cold ones that all keep the rule. A debt of each lets next to nothing through."""
         if (warmth := self._warmth(now, s)) >= 1.0:
             return False
-        full = s.weight if self.measures else self.typical * self.settings.balancers  # that of a warm one
+        listed = s.weight if self.measures and self.settings.sized else 0.0
+        bears = self.typical * self.settings.balancers / self.seen_by  # at least, by what is carried
+        full = self.bears or listed or bears  # that of a warm one
         may = max(1e-9, self.rules.tip_multiple * full * warmth / self.rules.warm_after)
         one = self.settings.balancers * self.mean  # what all send if each sends one
         looks = self._homes(r) or self.ready / max(1, self.ready - len(self.requests))  # servers it may go to
@@ -210,8 +164,8 @@
     # ------------------------------------------------------------ counters and ratios
 
     def _tick(self, now: float) -> list[api.Action]:
-        worst = max((s for s in self.active.values() if s.ready), key=_Server.rank, default=None)
-        if worst and worst.S > worst.A and self.ready > 1:
+        worst = max((s for s in self.active.values() if s.ready), key=_rank, default=None)
+        if worst and _rank(worst)[1] and self.ready > 1:
             cut = DELTA * (worst.ratio + self.raised)
             worst.ratio -= cut + cut / (self.ready - 1)
             self.raised += cut / (self.ready - 1)
@@ -228,16 +182,35 @@
         self.broke, self.came = self.broke * FORGETS, self.came * (1 - 1 / SLOTS)
         self.slot = (self.slot + 1) % SLOTS
         for s in list(self.active.values()):
-            s.S -= s.sends[self.slot]
-            s.A -= s.accepts[self.slot]
-            s.sends[self.slot] = s.accepts[self.slot] = 0
-            if not s.S:
+            if not s.window.clear(self.slot):
                 del self.active[s.id]
         level = self.held / max(1, self.ready)
         self.typical = self.typical + (level - self.typical) / SLOTS if self.typical else level
         if self.dirty or not self.slot and self.raised:  # raises and listed weights can wait
             self._plan(now)
-        return self._even(now)
+        return [*self._ask(now), *self._even(now)]
+
+    def _ask(self, now: float) -> list[api.Action]:
+        """Probe the servers whose turn it is, new ones at once."""
+        every = probe_every(self.settings, self.ready, self.came / (SLOTS * TICK)) - TICK / 2
+        if not self.reports:
+            return []
+        due = [s for s in self.servers.values() if s.ready and now >= s.told.asked_at + every]
+        for s in due:
+            s.told.asked_at = now
+        return [api.Probe(s.id) for s in due]
+
+    def _probed(self, now: float, event: api.ProbeResult) -> list[api.Action]:
+        """A server told what is asked of it. What it can't do leaves, and waits while others can't either."""
+        s, each = self.servers.get(event.server), self.mine / max(1, len(self.requests)) or self.mean
+        usual = self.bears * (self._warmth(now, s) if s else 0.0) or 1.0
+        if s is None or not self.reports or not s.told.take(event.report, s.mine, each, usual):
+            return []
+        can = s.told.capacity
+        if can and self._warmth(now, s) >= 1.0:
+            self.bears += (can - self.bears) / (SLOTS if self.bears else 1)
+        self._recount(s)
+        return self._move(now, s, 1 - LEAVE * can / s.carried) if can and s.carried else []
 
     def _even(self, now: float) -> list[api.Action]:
         """Loads swing after a connection was placed: of servers that carry much for their cores, the one with
@@ -249,12 +222,9 @@
         s = max(laden, key=lambda s: s.key)
         return self._move(now, s, DELTA * min(1.0, s.key / (EVEN_EXCESS * level) - 1))
 
-    def _count(self, s: _Server, accepted: bool) -> None:
+    def _count(self, s: Server, accepted: bool) -> None:
         self.active[s.id] = s
-        s.sends[self.slot] += 1
-        s.S += 1
-        s.accepts[self.slot] += accepted
-        s.A += accepted
+        s.window.count(self.slot, accepted)
 
     def _delay_note(self, now: float, event: api.DelayNote) -> list[api.Action] | None:
         """A server that accepts yet answers late: a send without accept, no place for new connections, and
@@ -276,9 +246,9 @@
 
     # ------------------------------------------------------------ rotation
 
-    def _charge(self, s: _Server, r: _Request, sign: int) -> None:
+    def _charge(self, s: Server, r: Case, sign: int) -> None:
         """A connection costs its load while it lasts, so that shares hold for load, not arrivals."""
-        before = s.carried
+        self.shares.count(r.ask.tenant, sign)
         if r.load is None:
             s.unknown += sign
         else:
@@ -287,22 +257,27 @@
             s.groups[r.ask.group] += sign
             if not s.groups[r.ask.group]:
                 del s.groups[r.ask.group]
-        s.carried = self._weigh(s)
+        self._recount(s)
+
+    def _recount(self, s: Server) -> None:
+        before, s.carried = s.carried, self._weigh(s)
         self.held += s.carried - before
         if s.share:
             for area in self._areas(s):
                 area.carried += (s.carried - before) * s.fit
             self._queue(s)
 
-    def _weigh(self, s: _Server) -> float:
-        return s.known + (s.unknown + self.group_cost * len(s.groups)) * self.mean
+    def _weigh(self, s: Server) -> float:
+        mine = s.known + (s.unknown + self.group_cost * len(s.groups)) * self.mean
+        self.mine, s.mine = self.mine + mine - s.mine, mine
+        return s.told.now(mine, self.seen_by) if self.reports else mine
 
-    def _queue(self, s: _Server) -> None:
+    def _queue(self, s: Server) -> None:
         s.key = (s.carried + s.phase * self.mean) / s.share
         for area in self._areas(s):
             heappush(area.heap, (s.key, s.id, s))
 
-    def _areas(self, s: _Server) -> tuple[_Area, ...]:
+    def _areas(self, s: Server) -> tuple[Area, ...]:
         return (self.own, self.whole) if s.zone == self.settings.zone else (self.whole,)
 
     def _measure(self, now: float, load: float) -> None:
@@ -314,7 +289,8 @@
 
     def _look(self, now: float) -> None:
         """How many of the servers that hold connections of this balancer, all it can judge by, are slow."""
-        held, slow = Counter[_Area](), Counter[_Area]()
+        held, slow = Counter[Area](), Counter[Area]()
+        self.stand = sum(s.told.held for s in self.servers.values())
         self.cold = sum(s.ready and self._warmth(now, s) < 1.0 for s in self.servers.values())
         for s in self.servers.values():
             if s.holds or s.slow_until > now:  # a slow one that has shed all it held must not drop from sight
@@ -326,7 +302,7 @@
         self.pressure = self.whole.slow
         self.blind = self.many * max(0.0, 1 - held[self.whole] / max(1, self.ready))
 
-    def _place(self, now: float, s: _Server) -> None:
+    def _place(self, now: float, s: Server) -> None:
         """Give a server its share, its turn and its part in its areas' sums as they are now."""
         if s.fit:
             for area in self._areas(s):
@@ -334,6 +310,8 @@
         warmth = self._warmth(now, s)
         # Live weights fall as 1 / (1 + load held): squared, lest slow kinds settle at too high a load.
         weight = max(0.0, s.weight) ** (1 + self.settings.live_weights)
+        if self.reports:  # they tell what it can do now, cold or not
+            weight, warmth = s.told.capacity or (self.bears or 1.0) * warmth, 1.0
         s.share = (s.ratio + self.raised) * weight * warmth if s.ready else 0.0
         s.fit = s.share > 0 and s.aside_until <= now and s.slow_until <= now
         if s.fit:
@@ -356,7 +334,7 @@
             self.held += s.carried
             self._place(now, s)
 
-    def _pick(self, now: float, r: _Request) -> _Server | None:
+    def _pick(self, now: float, r: Case) -> Server | None:
         areas = [self.own, self.whole] if not self._homes(r) and self._local() else [self.whole]
         for lax in range(3):  # slow servers too, then all that may be sent to
             for area in areas:
@@ -369,12 +347,12 @@
         clients come over from a balancer that has gone, its zone's servers have room that this one can't
         see: from some load on, all that are left share it."""
         own, share = self.own, self.own.share * self.ready  # by listed cores, but for cuts
-        all_carry = own.carried * max(1.0, self.settings.balancers / FEW)  # if each carries as much
-        busy = self.measures and all_carry > LOCAL_LOAD * share
+        others = max(1.0, self.settings.balancers / FEW / self.seen_by)  # if each carries as much
+        busy = self.measures and own.carried * others > LOCAL_LOAD * share
         return own.fit > 0 and not busy and \
             own.level() <= LOCAL_EXCESS * self.settings.zones * self.whole.level()
 
-    def _home(self, now: float, area: _Area, r: _Request) -> _Server | None:
+    def _home(self, now: float, area: Area, r: Case) -> Server | None:
         """Each server that holds any of a group pays for it: its members go to the first server of their walk
         round the ring that is not ahead of the rotation by more than a bounded excess, to cold ones first.
         Where packets pass through, keys do the same: at another balancer a connection finds its server."""
@@ -385,7 +363,7 @@
         if not area.ring:
             area.ring = sorted(p for s in {e[2].id: e[2] for e in area.heap}.values() for p in s.points)
         ring, start = area.ring, bisect(area.ring, (hash((key, RING_POINTS)), 0))
-        few, homes = self._homes(r), dict[int, _Server]()
+        few, homes = self._homes(r), dict[int, Server]()
         for i in range(start, start + (len(ring) if few else min(len(ring), GROUP_WALK))):
             s = ring[i % len(ring)][2]
             if s.fit and (few or s.key <= limit) and s.id not in r.tried and self._may_send(now, r, s):
@@ -394,14 +372,14 @@
                     break
         return min(homes.values(), key=lambda s: (self._warmth(now, s) == 1.0, s.key), default=None)
 
-    def _homes(self, r: _Request) -> int:
+    def _homes(self, r: Case) -> int:
         """How many servers of its walk a group is spread over, by its share of what came, where what is
         carried can't tell: with less than a connection a server, many balancers would scatter it. Else 0."""
         if r.ask.group is None or self.settings.balancers <= FEW or len(self.requests) >= self.ready:
             return 0
         return 1 + int(self.ready * self.seen.count(r.ask.group) / (len(self.seen) + GROUPS))
 
-    def _due(self, now: float, heap: Heap, r: _Request, lax: int) -> _Server | None:
+    def _due(self, now: float, heap: Heap, r: Case, lax: int) -> Server | None:
         """The server whose turn it is."""
         passed, chosen = [], None
         while heap and chosen is None:
@@ -416,7 +394,7 @@
             heappush(heap, entry)
         return chosen
 
-    def _move(self, now: float, s: _Server, part: float) -> list[api.Action]:
+    def _move(self, now: float, s: Server, part: float) -> list[api.Action]:
         """Ask part of a server's connections to come again, first those that free most: heavy ones, the last
         of a group. Where most servers are slow they are then refused: that sheds what can't be carried."""
         if part <= 0:
@@ -436,19 +414,22 @@
     def _request(self, now: float, event: api.Request) -> list[api.Action]:
         if event.id in self.requests or not 0 <= event.cls < len(self.settings.classes):
             return []
-        r = self.requests[event.id] = _Request(event, now + event.time_left)
+        r = self.requests[event.id] = Case(event, now + event.time_left)
         if r.load is not None:
             self._measure(now, r.load)
         self.seen.append(r.ask.group)
         # A fleet pushed past its load serves nobody well: from a sixth slow some, from a third all. And what
         # a server has dropped holds it down if all come back at once: while breaks are seen some must wait.
         storm = self.many * event.returning * self.broke / (1 + self.broke)
-        if self.random.random() < max(6 * self.pressure - 1, storm):
+        part = min(1.0, len(self.requests) / self.stand) if self.stand else 1 / self.settings.balancers
+        over = self.shares.over(event.tenant, part)
+        r.limit = OVER if over else FULL
+        if self.random.random() < max(6 * self.pressure * (1 + over) - 1, storm):
             return self._give_up(now, r)
         self.came += 1
         return self._attempt(now, r)
 
-    def _may_send(self, now: float, r: _Request, s: _Server) -> bool:
+    def _may_send(self, now: float, r: Case, s: Server) -> bool:
         """Whether an attempt there can have no second effect and push no cold server over."""
         cls, first = self.settings.classes[r.ask.cls], r.ran_on
         if first is not None and cls.repeat is not api.Repeat.SAFE:
@@ -457,9 +438,9 @@
                 return False
             if not same and cls.group is not api.Group.ALL:
                 return False
-        return not self._cold(now, r, s)
+        return not self._cold(now, r, s) and (not s.told.capacity or s.carried <= r.limit * s.told.capacity)
 
-    def _attempt(self, now: float, r: _Request) -> list[api.Action]:
+    def _attempt(self, now: float, r: Case) -> list[api.Action]:
         left = r.deadline - now
         s = self._pick(now, r) if left > 0 and r.attempts < self.limits.max_attempts else None
         if s is None:
@@ -478,7 +459,7 @@
             self._accept(now, r, r.server, event.latency)
             r.server.holds[event.id] = r
 
-    def _accept(self, now: float, r: _Request, s: _Server, latency: float) -> None:
+    def _accept(self, now: float, r: Case, s: Server, latency: float) -> None:
         r.stands, r.up_at = True, now
         if s.drops:  # its trial is over when the connection has held
             s.aside_until = now + HOLDS
@@ -517,7 +498,7 @@
             r.ran_on, r.ran_at = s, r.sent_at
         return self._attempt(now, r)
 
-    def _release(self, r: _Request, s: _Server) -> None:
+    def _release(self, r: Case, s: Server) -> None:
         self._charge(s, r, -1)
         s.holds.pop(r.ask.id, None)
         r.server = None
@@ -525,7 +506,7 @@
     def _adopted(self, now: float, event: api.Adopted) -> None:
         s, id = self.servers.get(event.server), event.request.id
         if s is not None and id not in self.requests:
-            r = self.requests[id] = s.holds[id] = _Request(event.request, float("inf"))
+            r = self.requests[id] = s.holds[id] = Case(event.request, float("inf"))
             r.attempts, r.server, r.stands = 1, s, True
             self.seen.append(r.ask.group)
             self._charge(s, r, 1)
@@ -546,7 +527,7 @@
 
     # ------------------------------------------------------------ refusals
 
-    def _give_up(self, now: float, r: _Request) -> list[api.Action]:
+    def _give_up(self, now: float, r: Case) -> list[api.Action]:
         """The final answer of a request that is not placed. A refusal says that a repeat is harmless."""
         del self.requests[r.ask.id]
         cls = self.settings.classes[r.ask.cls]
--- a/aspensaddle/core/driver.py
+++ b/aspensaddle/core/driver.py
@@ -174,8 +174,8 @@
         if case := self._cases.get(id):
             self._feed(api.DelayNote(id, case.server, delay))
 
-    def probed(self, server: int, outcome: api.Outcome, latency: float) -> None:
-        self._feed(api.ProbeResult(server, outcome, latency))
+    def probed(self, server: int, outcome: api.Outcome, latency: float, report: api.Report | None = None) -> None:
+        self._feed(api.ProbeResult(server, outcome, latency, report))
 
     def waited(self, id: str, wait: float) -> None:
         """A line came back on a connection after this long, or has been out so long already."""
@@ -199,7 +199,8 @@
         """What is believed of each server, to be held against what really passes on its connections."""
         now = self.now()
         return {s.id: {"connections": len(s.holds), "load": round(s.carried, 4), "share": round(s.share, 4),
-                       "sends": s.S, "accepts": s.A, "aside": round(max(0.0, s.aside_until - now), 2),
+                       "sends": s.window.sends, "accepts": s.window.accepts,
+                       "aside": round(max(0.0, s.aside_until - now), 2),
                        "slow": round(max(0.0, s.slow_until - now), 2)}
                 for s in self.balancer.servers.values()}
 
--- a/aspensaddle/core/interface.py
+++ b/aspensaddle/core/interface.py
@@ -55,6 +55,11 @@
     fall: float = 2.0
     must_ask_in: float = 10.0
 
+    def warmth(self, age: float) -> float:
+        """The least part of its capacity that a server has so many seconds after its start."""
+        left = 1 - max(0.0, age) / self.warm_after if self.warm_after else 0.0
+        return 1 - (1 - self.cold_share) * max(0.0, left)
+
 
 @dataclass(slots=True)
 class Limits:
@@ -99,7 +104,10 @@
     groups: bool = False  # servers pay once for each group they hold
     tells_delay: bool = False  # servers tell how long a message takes there
     kinds: tuple[str, ...] = ()  # of machines, by number
-    live_weights: bool = False  # listed weights fall with the load held
+    speeds: tuple[float, ...] = ()  # of a core of each kind, a standard one being 1; kinds beyond: 1
+    group_cost: float = 3.0  # mean loads that a server pays for each group it holds any of
+    sized: bool = True  # listed weights tell sizes
+    live_weights: bool = False  # and fall with the load held
     report_fields: tuple[str, ...] = ()
     tenant_connections: tuple[float, ...] = ()  # open connections in each tenant's share, all balancers
     over_share_worth: float = 1.0
@@ -119,6 +127,7 @@
         _check("zones", self.zones, 1)
         _check("zone", self.zone, 0, self.zones - 1)
         _check("over_share_worth", self.over_share_worth, 0.0)
+        _check("group_cost", self.group_cost, 0.0)
         for name in ("answer_slack", "drain_grace", "warm_after", "fall", "must_ask_in"):
             _check(f"rules.{name}", getattr(self.rules, name), 0.0)
         _check("rules.cold_share", self.rules.cold_share, 0.0, 1.0)
--- /dev/null
+++ b/aspensaddle/core/records.py
@@ -0,0 +1,72 @@
+"""What a balancer keeps of servers, areas and requests. Records and sums: nothing here decides anything.
+
+A server's places on the ring are the same at every balancer.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TypeAlias
+
+import aspensaddle.core.interface as api
+from aspensaddle.core.reports import Told
+from aspensaddle.core.window import Window
+
+RING_POINTS = 8  # places of a server on the ring, to even out gaps
+
+Heap: TypeAlias = list[tuple[float, int, "Server"]]
+
+
+class Server:
+    """What this balancer knows of one server."""
+
+    def __init__(self, entry: api.ServerEntry, phase: float) -> None:
+        self.id, self.zone, self.cell = entry.server, entry.zone, entry.cell
+        self.phase = phase  # a random place in the first round, so that balancers do not march in step
+        self.ratio = self.share = self.key = 0.0  # r; r by weight and warmth; load at which its turn comes
+        self.window, self.told = Window(), Told()  # sends and accepts; its own reports
+        self.known, self.unknown, self.mine = 0.0, 0, 0.0  # load told, connections of untold load, both
+        self.carried = 0.0  # that, or where reports tell it the load of all balancers
+        self.groups = Counter[int]()  # of the connections here, standing or on their way
+        self.holds: dict[str, Case] = {}  # connections that stand
+        self.fails, self.aside_until, self.slow_until, self.noted_at = 0, 0.0, 0.0, 0.0
+        self.drops, self.dropped_at, self.filled_at = False, 0.0, 0.0  # as soon as it was up; last sent one
+        self.fit = False  # counts in its areas' shares
+        self.points = [(hash((self.id, i)), self.id, self) for i in range(RING_POINTS)]  # alike everywhere
+        self.weight, self.started, self.ready = 1.0, 0.0, False
+
+    def update(self, entry: api.ServerEntry, speeds: tuple[float, ...]) -> None:
+        self.weight, self.started = entry.weight, entry.started_at  # 0: long ago
+        if 0 <= entry.kind < len(speeds):
+            self.weight *= speeds[entry.kind]
+        self.ready = entry.state is api.ServerState.READY
+
+
+class Area:
+    """The rotation over the servers of the own zone, or of the whole fleet."""
+
+    def __init__(self) -> None:
+        self.ring: list[tuple[int, int, Server]] = []  # the order in which groups look for a home
+        self.slow = 0.0  # part of the servers on which this balancer holds connections
+        self.fit, self.share, self.carried = 0, 0.0, 0.0  # of the servers that are fit
+        self.heap: Heap = []  # the rotation: whose turn comes first
+
+    def level(self) -> float:  # load carried for each part of the share
+        return self.carried / self.share / (1 - self.slow) if self.fit and self.slow < 1 else float("inf")
+
+    def count(self, s: Server, sign: int) -> None:
+        self.fit += sign
+        self.share = self.share + sign * s.share if self.fit else 0.0  # no crumbs of rounding
+        self.carried = self.carried + sign * s.carried if self.fit else 0.0
+
+
+class Case:
+    """A request or the connection it became."""
+
+    def __init__(self, ask: api.Request, deadline: float) -> None:
+        self.ask, self.deadline, self.load, self.draw = ask, deadline, ask.load, 0.0
+        self.attempts, self.sent_at, self.stands, self.up_at, self.limit = 0, 0.0, False, 0.0, 1.0
+        self.tried: list[int] = []
+        self.server: Server | None = None
+        self.ran_on: Server | None = None  # where the first attempt that may have run went
+        self.ran_at = 0.0
--- a/aspensaddle/core/settings.py
+++ b/aspensaddle/core/settings.py
@@ -37,6 +37,7 @@
         groups=flag(family, "groups"),
         tells_delay=flag(family, "tells-delay"),
         kinds=tuple(str(k) for k in array(m, "host-types", [])),
+        sized=raw(m, "weights", "none") != "none",
         live_weights=raw(m, "weights", "none") == "live",
         report_fields=tuple(str(f) for f in array(report, "fields", [])),
         tenant_connections=tuple(
--- a/aspensaddle/daemon/config.py
+++ b/aspensaddle/daemon/config.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 
 from aspensaddle.core.interface import Settings
+from aspensaddle.core.machines import load_machines
 from aspensaddle.core.settings import parse_settings
 from aspensaddle.fleet.update import Update, parse_update
 from aspensaddle.support.address import Address, parse_address
@@ -32,15 +33,28 @@
     known: Update
     settings: Settings
     classes: dict[str, int]  # the number of a class by its name
+    tenants: dict[str, int]  # and of a tenant
     zones: tuple[str, ...]
 
 
-def _read_settings(raw: Message) -> tuple[Settings, dict[str, int], tuple[str, ...]]:
+@dataclass(slots=True)
+class _Named:
+    """The settings, and the numbers or the order of what they name."""
+
+    settings: Settings
+    classes: dict[str, int]
+    tenants: dict[str, int]
+    zones: tuple[str, ...]
+
+
+def _read_settings(raw: Message) -> _Named:
     try:
         settings = parse_settings(raw)
         lanes = [as_object(lane, "lanes") for lane in array(raw, "lanes")]
-        classes = {text(lane, "name"): i for i, lane in enumerate(lanes)}
-        return settings, classes, tuple(str(z) for z in array(raw, "failure-domains", []))
+        tenants = [as_object(tenant, "tenants") for tenant in array(raw, "tenants", [])]
+        return _Named(settings, {text(lane, "name"): i for i, lane in enumerate(lanes)},
+                      {text(tenant, "name"): i for i, tenant in enumerate(tenants)},
+                      tuple(str(z) for z in array(raw, "failure-domains", [])))
     except (DecodeError, ValueError) as e:
         raise DecodeError(f"settings.{e}") from None
 
@@ -55,12 +69,14 @@
 
 def with_settings(config: Config, raw: Message) -> Config:
     """The same configuration with other settings."""
-    settings, classes, zones = _read_settings(raw)
-    return replace(config, settings=settings, classes=classes, zones=zones)
+    new = _read_settings(raw)
+    settings = replace(new.settings, speeds=config.settings.speeds, group_cost=config.settings.group_cost)
+    return replace(config, settings=settings, classes=new.classes, tenants=new.tenants, zones=new.zones)
 
 
 def parse_config(m: Message) -> Config:
-    settings, classes, zones = _read_settings(obj(m, "settings"))
+    named = _read_settings(obj(m, "settings"))
+    settings = named.settings
     where = "limits."
     try:
         limits = _read_limits(obj(m, "limits", {}))
@@ -74,7 +90,8 @@
         discovery = parse_address(text(m, "discovery"), "discovery")
     return Config(
         text(m, "name"), parse_address(text(m, "listen"), "listen"), discovery,
-        stable_hash(str(m.get("seed", "")), 53), limits, known, settings, classes, zones,
+        stable_hash(str(m.get("seed", "")), 53), limits, known, settings, named.classes, named.tenants,
+        named.zones,
     )
 
 
@@ -103,6 +120,7 @@
                 said = {n: self._environ.get(f"LB_{n.upper()}") for n in ("name", "listen", "discovery")}
                 overrides = {n: value for n, value in said.items() if value and value != m.get(n)}
             config = parse_config({**m, **overrides})
+            config = replace(config, settings=load_machines(self._environ).into(config.settings))
         except OSError as e:
             raise ConfigError(f"LB_CONFIG: {path}: {e.strerror}") from None
         except DecodeError as e:
--- a/aspensaddle/daemon/service.py
+++ b/aspensaddle/daemon/service.py
@@ -186,7 +186,13 @@
 
     def probe(self, server: int) -> None:
         assert self._nursery is not None
-        self._nursery.start_soon(self.servers.probe, server)
+        self._nursery.start_soon(self._probe, server)
+
+    async def _probe(self, server: int) -> None:
+        try:
+            await self.servers.probe(server)
+        except Exception as e:
+            self._fault(e)
 
     def timer_set(self) -> None:
         self._timer.set()
@@ -201,7 +207,7 @@
 
 
 def _lines(config: Config) -> LinesSettings:
-    return LinesSettings(config.classes, config.settings, config.limits.sockets)
+    return LinesSettings(config.classes, config.tenants, config.settings, config.limits.sockets)
 
 
 async def serve(source: ConfigSource, config: Config, quic: QuicSettings | None, store: StoreSettings | None,
--- a/aspensaddle/fronts/lines/clients.py
+++ b/aspensaddle/fronts/lines/clients.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass, replace
+from types import MappingProxyType
 
 import trio
 
@@ -25,6 +26,7 @@
 from aspensaddle.support.log import Log
 
 ANSWER_MARGIN = 0.03  # of the client's wait: its line's way here, and the answer's way back
+NO_TENANT = -1  # named, or none that is known: it has no share to be over
 PINGS = 16  # ahead of an OPEN, at most
 ADOPT_WITHIN = 38.0
 ADOPT_AGAIN = 0.5
@@ -56,7 +58,8 @@
         return _D.sub(b"d=%d" % max(1, int(wait * 1000)), self.line, count=1)
 
 
-def parse_open(line: bytes, classes: Mapping[str, int], groups: bool) -> Opened:
+def parse_open(line: bytes, classes: Mapping[str, int], groups: bool,
+               tenants: Mapping[str, int] = MappingProxyType({})) -> Opened:
     try:
         word, id, key, *rest = line.decode("ascii").rstrip("\r\n").split(" ")
     except (ValueError, UnicodeDecodeError):
@@ -82,7 +85,8 @@
             raise BadOpen("h is not a number in range")
         load = float(hint)
     request = Request(
-        id, cls, int(wait) / 1000 if wait else math.inf, key=stable_hash(key, 53), load=load,
+        id, cls, int(wait) / 1000 if wait else math.inf, tenants.get(values.get("t", ""), NO_TENANT),
+        key=stable_hash(key, 53), load=load,
         group=stable_hash(values["g"], 53) if groups and "g" in values else None,
         repeat=values.get("r") == "1", returning=values.get("again") == "1",
     )
@@ -127,6 +131,7 @@
     """What the front takes from the configuration."""
 
     classes: Mapping[str, int]  # the number of a class by its name
+    tenants: Mapping[str, int]
     settings: Settings
     sockets: int  # descriptors that the process may hold
 
@@ -219,7 +224,7 @@
         pings = 0
         while (line := await link.line()) is not None:
             if line.strip() != b"PING":
-                return parse_open(line, self.config.classes, self.config.settings.groups)
+                return parse_open(line, self.config.classes, self.config.settings.groups, self.config.tenants)
             if (pings := pings + 1) > PINGS:
                 raise BadOpen("too many commands")
             self.counters.add("pings")
--- a/aspensaddle/fronts/lines/servers.py
+++ b/aspensaddle/fronts/lines/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -15,6 +16,8 @@
 from aspensaddle.support.sockets import NO_DESCRIPTORS, connect
 
 PROBE_WITHIN = 0.5
+MOST_FIELDS = 32  # of a report
+_FIGURE = re.compile(r"\d{1,12}(\.\d{1,12})?([eE][+-]?\d{1,2})?")
 
 # What the first word of an answer says of the attempt.
 ANSWERS = {
@@ -46,6 +49,20 @@
     return line.split(None, 1)[0] if line.strip() else b""
 
 
+def parse_report(line: bytes, fields: tuple[str, ...]) -> dict[str, float] | None:
+    """The report behind an answer's first word, `NAME=FIGURE,..`. Only fields of the settings count; a line with
+    anything else in it, a field twice or a figure that is none tells nothing."""
+    report: dict[str, float] = {}
+    for item in line.decode("latin-1").split()[1:2]:
+        for pair in item.split(",", MOST_FIELDS):
+            name, _, value = pair.partition("=")
+            if not _FIGURE.fullmatch(value) or name in report:
+                return None
+            if name in fields:
+                report[name] = float(value)
+    return report or None
+
+
 class Servers:
     def __init__(self, driver: Driver, fleet: Fleet, counters: Counters) -> None:
         self.driver, self.fleet, self.counters = driver, fleet, counters
@@ -112,21 +129,24 @@
         return Outcome.BROKEN, b""
 
     async def probe(self, server: int) -> None:
-        """Ask a runner whether it answers, and tell the driver."""
+        """Ask a runner for its load, and tell the driver. A report that comes too late is none."""
         self.counters.add("probes")
-        start, outcome = trio.current_time(), Outcome.TIMED_OUT
+        start, outcome, report = trio.current_time(), Outcome.TIMED_OUT, None
         with trio.move_on_after(PROBE_WITHIN):
             connected = await self._connect(server)
             if isinstance(connected, Outcome):
                 outcome = connected
             else:
                 try:
-                    await connected.send(b"PING\r\n")
+                    await connected.send(b"STATS\r\n")
                     line = await connected.line()
                     outcome = Outcome.BROKEN if line is None else \
                         Outcome.OK if first_word(line) == b"PONG" else Outcome.ERROR
+                    if outcome is Outcome.OK and line is not None:
+                        report = parse_report(line, self.driver.settings.report_fields)
+                    self.counters.add(f"probes {outcome.label}" + ("" if report else " without a report"))
                 except (Broken, TooLong):
                     outcome = Outcome.BROKEN
                 finally:
                     connected.close()
-        self.driver.probed(server, outcome, trio.current_time() - start)
+        self.driver.probed(server, outcome, trio.current_time() - start, report)
--- a/aspensaddle/simlink/host.py
+++ b/aspensaddle/simlink/host.py
@@ -11,6 +11,7 @@
 
 from aspensaddle.core.balance import Balancer
 from aspensaddle.core.interface import Action, Started
+from aspensaddle.core.machines import load_machines
 from aspensaddle.core.settings import parse_settings
 from aspensaddle.simlink.wire import EVENTS, Lists, parse_entries, render
 from aspensaddle.support.decode import DecodeError, Message, array, integer, number, obj, text
@@ -22,6 +23,7 @@
     def __init__(self) -> None:
         self.balancers: dict[int, Balancer] = {}
         self.lists: Lists = {}
+        self.machines = load_machines()
 
     def reply(self, line: bytes) -> bytes:
         """Answer one batch. Raises `DecodeError` where the batch is not what the wire says."""
@@ -76,7 +78,7 @@
         elif kind == "LAUNCH":
             seed, options = integer(message, "init-seed"), obj(message, "options")
             try:
-                settings = parse_settings(options)
+                settings = self.machines.into(parse_settings(options))
             except ValueError as e:
                 raise DecodeError(f"options: {e}") from None
             balancer = self.balancers[instance] = Balancer(settings, seed)
--- a/tests/test_extensions.py
+++ b/tests/test_extensions.py
@@ -4,6 +4,7 @@
 
 from helpers import SETTINGS, Driver, entry
 
+from aspensaddle.core.balance import _rank
 from aspensaddle.core.interface import (
     Adopted, ClientGone, DelayNote, Ended, Established, ListScope, LoadNote, Move, Outcome, PeerMessage,
     ProbeResult, Refuse, Request, Send, ServersChanged, SetTimer, Started, TimerFired, WatchList,
@@ -73,7 +74,7 @@
     slow = sends[0].server
     d.b.handle(d.now, DelayNote(sends[0].id, slow, 0.03))
     assert all(d.place().server != slow for _ in range(8))
-    assert d.b.servers[slow].rank() > (0.0, 0)
+    assert _rank(d.b.servers[slow]) > (0.0, 0)
     d.b.handle(d.now, DelayNote(sends[0].id, slow, 0.01))  # back under
     assert any(d.place().server == slow for _ in range(8))
 
@@ -150,7 +151,7 @@
 
 def test_machines_are_loaded_by_the_speed_of_their_kind():
     """The list's sizes tell their cores alone."""
-    settings = replace(SETTINGS, kinds=("other", "plain-runner", "fast-runner"))
+    settings = replace(SETTINGS, kinds=("other", "plain-runner", "fast-runner"), speeds=(1.0, 0.97, 1.5))
     d = Driver([entry(1, kind=1), entry(2, kind=2), entry(3, kind=0), entry(4)], settings=settings)
     for _ in range(447):
         d.place(load=0.01)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -60,7 +60,7 @@
     fail_on(d, 1)
     for _ in range(SLOTS):
         d.tick()
-    assert d.b.servers[1].S == 0
+    assert d.b.servers[1].window.sends == 0
     after = ratios(d)
     d.tick()
     assert ratios(d) == after
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,7 +10,7 @@
 from contextlib import suppress
 
 import pytest
-from standins import ROOT, WAIT, Client, Discovery, Program, Runner, until
+from standins import ROOT, SETTINGS, WAIT, Client, Discovery, Program, Runner, until
 
 
 class World:
@@ -43,6 +43,30 @@
         w.close()
 
 
+PROBING = {**SETTINGS, "report": {"how": "probe", "fields": ["inflight", "x0"]}, "tariffs": {"probe": 0.003},
+           "limits": {**SETTINGS["limits"], "probes": True}}
+
+
+def test_runners_are_probed_and_those_that_others_have_filled_get_nothing(world):
+    w = world(settings=PROBING)
+    w.runners[0].report, w.runners[1].report = b"PONG inflight=90,x0=0.84\r\n", b"PONG inflight=9,x0=0.10\r\n"
+    until(lambda: w.program.counts().get("probes ok", 0) >= 4, "reports")
+    for n in range(3):  # each goes when it is up
+        with w.client() as c:
+            assert c.open(f"c=test-run,t=acme,d=2500,g={n}") == b"UP s-1\r\n"
+
+
+@pytest.mark.parametrize("report", [b"", b"NO\r\n", b"PONG\r\n", b"PONG x0=nan\r\n", b"\xff" * 9000, b"PONG x0=1"])
+def test_a_probe_answered_by_garbage_or_late_or_not_ends_nothing_and_holds_nobody(world, report):
+    w = world(settings=PROBING)
+    for r in w.runners:
+        r.report = report
+    until(lambda: w.program.counts().get("probes", 0) >= 4, "probes")
+    with w.client() as c:
+        assert c.open("c=test-run,t=,d=2500,g=5").startswith(b"UP s-")
+    assert "faults" not in w.program.counts()
+
+
 def test_a_connection_lives_from_open_to_bye(world):
     w = world(b"UP r\r\nLOAD 1500.5\r\n")
     with w.client() as c:
