--- a/aspensaddle/core/balance.py
+++ b/aspensaddle/core/balance.py
@@ -14,6 +14,7 @@
 from random import Random
 
 import aspensaddle.core.interface as api
+from aspensaddle.core.loads import Loads
 from aspensaddle.core.records import RING_POINTS, Area, Case, Heap, Server
 from aspensaddle.core.reports import probe_every, told
 from aspensaddle.core.shares import Shares
@@ -37,7 +38,8 @@
 FULL, OVER = 0.85, 0.65  # of what a server can do: nothing more is placed there; by tenants over their share
 LEAVE = 0.95  # of the same: what is asked beyond leaves
 POPULAR = 3.0  # even parts of what comes that a server may get: shares of groups are guessed from few
-FORGETS = 0.8  # a second: what is left of the breaks that were seen
+LIGHT = 0.1  # of the listed cores: what connections may ask where nobody sees how evenly they stand
+FORGETS = 0.9  # a second: what is left of the breaks that were seen
 
 NO_FAULT = (api.Outcome.OK, api.Outcome.VOID, api.Outcome.CANCELLED)  # say nothing against the server
 
@@ -65,9 +67,9 @@
         self.dirty, self.raised = True, 0.0  # the plan is out of date; what each ratio has gained since
         self.mean, self.measures, self.planned = 1.0, 0, 1.0  # load of a connection; at the last plan
         self.held = self.typical = 0.0  # load carried in all; by a server
-        self.mine = self.bears = 0.0  # load of this balancer in all; what a warm server can do, by reports
-        self.stand = 0.0  # connections of all balancers, by reports
-        self.pressure = self.blind = 0.0  # part of servers slow; of balancers not told of it
+        self.mine = self.blind = 0.0  # load of this balancer; part of balancers not told of slow servers
+        self.bears = self.stand = 0.0  # by reports: what a warm server can do; connections of all balancers
+        self.loads, self.light, self.beyond = Loads(), float("inf"), 0.0  # the heaviest; part of load beyond
         self.broke, self.came = 0.0, SLOTS * TICK  # breaks seen, and requests placed of late
         self.handlers: dict[type, Callable[..., list[api.Action] | None]] = {
             api.Started: self._started, api.TimerFired: self._timer_fired, api.Ended: self._ended,
@@ -112,9 +114,8 @@
             named = {e.server for e in event.entries}
             joined = [self.servers.pop(n) for n in list(self.servers) if n not in named]
         for e in event.entries:
-            known = e.server in self.servers
             s = self.servers[e.server] = self.servers.get(e.server) or Server(e, self.random.random())
-            if not known or e.started_at != s.started or (e.state is api.ServerState.READY) != s.ready:
+            if e.started_at != s.started or (e.state is api.ServerState.READY) != s.ready:
                 joined.append(s)
             s.update(e, self.settings.speeds)
             if e.state is api.ServerState.GONE:  # forgotten, lest a long life gather all that ever ran
@@ -188,17 +189,13 @@
         self.typical = self.typical + (level - self.typical) / SLOTS if self.typical else level
         if self.dirty or not self.slot and self.raised:  # raises and listed weights can wait
             self._plan(now)
-        return [*self._ask(now), *self._even(now)]
+        return [*self._ask(now), *self._even(now), *self._weed(now)]
 
     def _ask(self, now: float) -> list[api.Action]:
         """Probe the servers whose turn it is, new ones at once."""
         every = probe_every(self.settings, self.ready, self.came / (SLOTS * TICK)) - TICK / 2
-        if not self.reports:
-            return []
-        due = [s for s in self.servers.values() if s.ready and now >= s.told.asked_at + every]
-        for s in due:
-            s.told.asked_at = now
-        return [api.Probe(s.id) for s in due]
+        return [api.Probe(s.id) for s in self.servers.values()
+                if self.reports and s.ready and s.told.due(now, every)]
 
     def _probed(self, now: float, event: api.ProbeResult) -> list[api.Action]:
         """A server told what is asked of it. What it can't do leaves, and waits while others can't either."""
@@ -222,6 +219,20 @@
         s = max(laden, key=lambda s: s.key)
         return self._move(now, s, DELTA * min(1.0, s.key / (EVEN_EXCESS * level) - 1))
 
+    def _weed(self, now: float) -> list[api.Action]:
+        """Guards against a few heavy connections taking most of what all can do, where many balancers do not
+        see what a server is asked: the heaviest leave while all, by those here, ask for too much."""
+        storm = self.many * self.broke / (1 + self.broke) if self.settings.sized and not self.reports else 0.0
+        cores = sum(s.weight * self._warmth(now, s) for s in self.servers.values() if s.ready)
+        stand = self.settings.balancers * max(1, len(self.requests))
+        self.light, self.beyond = self.loads.fit(LIGHT * cores / stand / max(storm, 1e-9))
+        heavy = [r for r in self.requests.values() if r.stands and (r.load or 0.0) > self.light]
+        return [api.Move(r.ask.id) for r in heavy if r.server and self._leaves(r.server, r.ask.id)]
+
+    def _leaves(self, s: Server, id: str) -> bool:
+        """Whether a connection is now asked to leave: each is asked once."""
+        return s.holds.pop(id, None) is not None
+
     def _count(self, s: Server, accepted: bool) -> None:
         self.active[s.id] = s
         s.window.count(self.slot, accepted)
@@ -299,7 +310,6 @@
                     slow[area] += s.slow_until > now
         for area in (self.own, self.whole):  # one more is held to be well, lest one be all
             area.slow = slow[area] / (held[area] + 1)
-        self.pressure = self.whole.slow
         self.blind = self.many * max(0.0, 1 - held[self.whole] / max(1, self.ready))
 
     def _place(self, now: float, s: Server) -> None:
@@ -407,7 +417,7 @@
 
         count = int(part * len(s.holds) + self.random.random())
         going = sorted(s.holds, key=frees, reverse=True)[:count]
-        return [api.Move(id) for id in going if s.holds.pop(id)]
+        return [api.Move(id) for id in going if self._leaves(s, id)]
 
     # ------------------------------------------------------------ attempts of a request
 
@@ -420,11 +430,10 @@
         self.seen.append(r.ask.group)
         # A fleet pushed past its load serves nobody well: from a sixth slow some, from a third all. And what
         # a server has dropped holds it down if all come back at once: while breaks are seen some must wait.
-        storm = self.many * event.returning * self.broke / (1 + self.broke)
-        part = min(1.0, len(self.requests) / self.stand) if self.stand else 1 / self.settings.balancers
-        over = self.shares.over(event.tenant, part)
+        storm = event.returning * max(self.many * self.broke / (1 + self.broke), self.beyond)
+        over = self.shares.over(event.tenant, len(self.requests), self.stand, self.settings.balancers)
         r.limit = OVER if over else FULL
-        if self.random.random() < max(6 * self.pressure * (1 + over) - 1, storm):
+        if self.random.random() < max(6 * self.whole.slow * (1 + over) - 1, storm):
             return self._give_up(now, r)
         self.came += 1
         return self._attempt(now, r)
@@ -461,11 +470,8 @@
 
     def _accept(self, now: float, r: Case, s: Server, latency: float) -> None:
         r.stands, r.up_at = True, now
-        if s.drops:  # its trial is over when the connection has held
-            s.aside_until = now + HOLDS
-            self._place(now, s)
-        elif s.fails:
-            s.fails, s.aside_until = 0, 0.0
+        if s.drops or s.fails:  # of one that dropped some the trial is over when the connection has held
+            s.fails, s.aside_until = (s.fails, now + HOLDS) if s.drops else (0, 0.0)
             self._place(now, s)
         self._count(s, latency <= self.settings.classes[r.ask.cls].aim)
 
@@ -511,14 +517,18 @@
             self.seen.append(r.ask.group)
             self._charge(s, r, 1)
 
-    def _load_note(self, now: float, event: api.LoadNote) -> None:
+    def _load_note(self, now: float, event: api.LoadNote) -> list[api.Action]:
         r = self.requests.get(event.id)
         if r is not None and r.server is not None:
             if r.load is None:
                 self._measure(now, event.load)
+                self.loads.tell(event.load)
             self._charge(r.server, r, -1)
             r.load = event.load
             self._charge(r.server, r, 1)
+            if r.load > self.light and self._leaves(r.server, event.id):
+                return [api.Move(event.id)]
+        return []
 
     def _client_gone(self, now: float, event: api.ClientGone) -> None:
         r = self.requests.pop(event.id, None)
--- a/aspensaddle/core/reports.py
+++ b/aspensaddle/core/reports.py
@@ -29,6 +29,13 @@
     held: float = 0.0  # connections
     asked_at: float = float("-inf")
 
+    def due(self, now: float, every: float) -> bool:
+        """Whether it is time for a probe, which then counts as sent."""
+        if now < self.asked_at + every:
+            return False
+        self.asked_at = now
+        return True
+
     def take(self, report: Report | None, mine: float, each: float, usual: float) -> bool:
         """A report came; False where it tells nothing that can be used. `mine` is the load of this balancer there,
         `each` what a connection asks in the mean, `usual` the capacity of a server that nothing is known of."""
--- a/aspensaddle/core/shares.py
+++ b/aspensaddle/core/shares.py
@@ -19,6 +19,10 @@
         if not self._held[tenant]:
             del self._held[tenant]  # guards against growing with every tenant that ever came
 
-    def over(self, tenant: int, part: float) -> bool:
-        """Whether what this balancer holds for a tenant reaches its part (0 to 1) of the quota."""
-        return 0 <= tenant < len(self.quotas) and self._held[tenant] >= self.quotas[tenant] * part
+    def over(self, tenant: int, mine: int, all: float, balancers: int) -> bool:
+        """Whether what this balancer holds for a tenant reaches its part of the quota: that of its own connections
+        (`mine`) in those of all balancers, where these are told (else 0)."""
+        if not 0 <= tenant < len(self.quotas):
+            return False
+        part = min(1.0, mine / all) if all else 1 / balancers
+        return self._held[tenant] >= self.quotas[tenant] * part
--- a/aspensaddle/fronts/lines/servers.py
+++ b/aspensaddle/fronts/lines/servers.py
@@ -16,6 +16,7 @@
 from aspensaddle.support.sockets import NO_DESCRIPTORS, connect
 
 PROBE_WITHIN = 0.5
+PROBE_LINKS = 64  # connections kept for probes
 MOST_FIELDS = 32  # of a report
 _FIGURE = re.compile(r"\d{1,12}(\.\d{1,12})?([eE][+-]?\d{1,2})?")
 
@@ -66,6 +67,7 @@
 class Servers:
     def __init__(self, driver: Driver, fleet: Fleet, counters: Counters) -> None:
         self.driver, self.fleet, self.counters = driver, fleet, counters
+        self._probed: dict[int, Link] = {}  # connections kept for probes
 
     async def attempt(self, server: int, first: FirstLine, within: float,
                       adopt: bool = False) -> Up | Failed:
@@ -129,24 +131,44 @@
         return Outcome.BROKEN, b""
 
     async def probe(self, server: int) -> None:
-        """Ask a runner for its load, and tell the driver. A report that comes too late is none."""
+        """Ask a runner for its load, and tell the driver. A report that comes too late is none. The connection is
+        kept for the next probe: opening one costs the runner ten times what a probe does."""
         self.counters.add("probes")
         start, outcome, report = trio.current_time(), Outcome.TIMED_OUT, None
-        with trio.move_on_after(PROBE_WITHIN):
-            connected = await self._connect(server)
-            if isinstance(connected, Outcome):
-                outcome = connected
-            else:
-                try:
-                    await connected.send(b"STATS\r\n")
-                    line = await connected.line()
-                    outcome = Outcome.BROKEN if line is None else \
-                        Outcome.OK if first_word(line) == b"PONG" else Outcome.ERROR
-                    if outcome is Outcome.OK and line is not None:
-                        report = parse_report(line, self.driver.settings.report_fields)
-                    self.counters.add(f"probes {outcome.label}" + ("" if report else " without a report"))
-                except (Broken, TooLong):
-                    outcome = Outcome.BROKEN
-                finally:
-                    connected.close()
+        link = self._probed.pop(server, None)
+        try:
+            with trio.move_on_after(PROBE_WITHIN):
+                connected = link or await self._connect(server)
+                if isinstance(connected, Outcome):
+                    outcome = connected
+                else:
+                    link = connected
+                    outcome, report = await self._ask(link)
+        finally:
+            if link is not None:
+                self._keep(server, link, outcome)
+        self.counters.add(f"probes {outcome.label}" + ("" if report else " without a report"))
         self.driver.probed(server, outcome, trio.current_time() - start, report)
+
+    async def _ask(self, link: Link) -> tuple[Outcome, dict[str, float] | None]:
+        try:
+            await link.send(b"STATS\r\n")
+            line = await link.line()
+        except (Broken, TooLong):
+            return Outcome.BROKEN, None
+        if line is None:
+            return Outcome.BROKEN, None
+        if first_word(line) != b"PONG":
+            return Outcome.ERROR, None
+        return Outcome.OK, parse_report(line, self.driver.settings.report_fields)
+
+    def _keep(self, server: int, link: Link, outcome: Outcome) -> None:
+        """Guards against an answer that comes late being read as the next one's, and against a descriptor for each
+        runner of a large fleet."""
+        for gone in [s for s in self._probed if s not in self.fleet.addresses]:
+            self._probed.pop(gone).close()
+        if outcome is Outcome.OK and not link.buffered and server in self.fleet.addresses \
+                and server not in self._probed and len(self._probed) < PROBE_LINKS:
+            self._probed[server] = link
+        else:
+            link.close()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -51,6 +51,7 @@
     w = world(settings=PROBING)
     w.runners[0].report, w.runners[1].report = b"PONG inflight=90,x0=0.84\r\n", b"PONG inflight=9,x0=0.10\r\n"
     until(lambda: w.program.counts().get("probes ok", 0) >= 4, "reports")
+    assert w.runners[0].probes >= 2 and len(w.runners[0].connections) <= 2  # kept from one to the next
     for n in range(3):  # each goes when it is up
         with w.client() as c:
             assert c.open(f"c=test-run,t=acme,d=2500,g={n}") == b"UP s-1\r\n"
