What the process was late itself is taken off the times of lines: runners looked slow

A line that comes back in no time is read up to 0.7 s late by a process with a busy core, and 17 ms are a third of the shortest aim there. Line at fault: `waited` in core/driver.py took the wait as it was.

--- a/aspensaddle/core/driver.py
+++ b/aspensaddle/core/driver.py
@@ -82,6 +82,7 @@
         self._cases: dict[str, _Case] = {}
         self._ready: set[int] = set()
         self._delays: dict[int, _Delays] = {}
+        self._late = 0.0  # how late this process itself has been of late, seconds
         self._slow = SLOW_PART * min(c.message_aim for c in settings.classes)
 
     def configure(self, settings: api.Settings) -> None:
@@ -177,6 +178,10 @@
     def probed(self, server: int, outcome: api.Outcome, latency: float, report: api.Report | None = None) -> None:
         self._feed(api.ProbeResult(server, outcome, latency, report))
 
+    def late(self, by: float) -> None:
+        """This process came to something so many seconds after it was due. It forgets half of that each time."""
+        self._late = max(by, self._late / 2)
+
     def waited(self, id: str, wait: float) -> None:
         """A line came back on a connection after this long, or has been out so long already."""
         if not (case := self._cases.get(id)):
@@ -187,7 +192,8 @@
         if now < delays.noted_at + NOTE_EVERY:
             return
         # The median guards against one line that was late for a reason of its own, or of this process.
-        delay = median(delays.waits)
+        # What this process was late itself says nothing of a server: under load it would call all of them slow.
+        delay = max(0.0, median(delays.waits) - self._late)
         delays.waits.clear()
         delays.noted_at = now
         slow, was = delay > self._slow, delays.slow
--- a/aspensaddle/fronts/lines/clients.py
+++ b/aspensaddle/fronts/lines/clients.py
@@ -358,8 +358,10 @@
     async def sweep(self) -> None:
         """Look after lines that have not come back."""
         while True:
+            due = trio.current_time() + SWEEP
             await trio.sleep(SWEEP)
             now = trio.current_time()
+            self.driver.late(now - due)
             for id, case in list(self.cases.items()):
                 if case.relay is not None:
                     case.relay.sweep(now)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import pytest
 from helpers import SETTINGS, entry
 
 from aspensaddle.core.driver import Driver
@@ -133,3 +134,21 @@
     w.driver.waited("r7", 0.5)  # a tenth of what the server holds goes
     moved = [a.id for o in owners for a in o.actions if isinstance(a, Move)]
     assert len(moved) >= 2 and all(owners[int(id[1:])].actions[-1].id == id for id in moved)
+
+
+def test_a_process_that_is_late_itself_calls_no_server_slow():
+    """Guards against a busy core: lines that were read late looked like slow servers, and newcomers were refused."""
+    w = World()
+    w.ask()
+    w.driver.established("r")
+    notes = lambda: [e for _, e in w.events if isinstance(e, DelayNote)]  # noqa: E731
+    for _ in range(20):
+        w.time += 0.25
+        w.driver.late(0.05)
+        w.driver.waited("r", 0.05)
+    assert not notes()
+    for _ in range(20):  # and one that is slow beside is still told of
+        w.time += 0.25
+        w.driver.late(0.05)
+        w.driver.waited("r", 0.5)
+    assert len(notes()) >= 4 and notes()[-1].delay == pytest.approx(0.45)
