Pushed lists are watched at the agent: the program went on with the list of its start

Lines at fault: `_started` in core/balance.py asks for a watch only where discovery is asked, which is right for the simulator, where pushed lists come by themselves; on the sockets they come to an agent, and the daemon (`_run`) opened no watch to it.

Change: the daemon watches the agent from the first moment, and again after a move; the policy's wait after a failure is at most a second there, as the agent answers at no cost.

--- a/aspensaddle/core/balance.py
+++ b/aspensaddle/core/balance.py
@@ -106,7 +106,8 @@
     def _servers_changed(self, now: float, event: api.ServersChanged) -> list[api.Action]:
         if event.scope is api.ListScope.FAILED:
             self.ask_failures += 1
-            wait = min(max(1.0, self.rules.must_ask_in), 0.5 * 2 ** min(self.ask_failures, 10))
+            longest = self.rules.must_ask_in if self.settings.ask_discovery else 0.0  # an agent is free
+            wait = min(max(1.0, longest), 0.5 * 2 ** min(self.ask_failures, 10))
             return [api.SetTimer("watch", self.random.uniform(wait / 2, wait))]
         self.ask_failures = 0
         joined: list[Server] = []  # or left
--- a/aspensaddle/daemon/service.py
+++ b/aspensaddle/daemon/service.py
@@ -80,6 +80,10 @@
             self.quic.bind()
         async with trio.open_nursery() as self._nursery:
             self.driver.start(self.fleet.take(self.config.known))
+            if isinstance(self.list, Discovery) and not self.config.settings.ask_discovery:
+                # Lists that are pushed come to an agent on this machine, and from there to whoever watches it. What
+                # it has counts as told, so it is watched from the first moment; asking it costs nothing.
+                self._call(self.list.watch)
             self._nursery.start_soon(self._keep, self._timers)
             self._nursery.start_soon(self._keep, self.clients.sweep)
             self._nursery.start_soon(self._keep, self.clients.serve, listener, self._nursery)
@@ -147,7 +151,7 @@
         if isinstance(self.list, Discovery) and config.discovery is not None \
                 and config.discovery != old.discovery:
             self.list.move(config.discovery)
-            if config.settings.ask_discovery and not self.list.watching:
+            if not self.list.watching:
                 self._call(self.list.watch)
         if self.list is None and config.known != old.known:
             self.driver.servers(ListScope.FULL, self.fleet.take(replace(config.known, full=True)))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -43,6 +43,22 @@
         w.close()
 
 
+def test_pushed_lists_are_watched_at_the_agent_and_again_after_it_was_silent(world):
+    """What the agent has counts as told: without a watch a runner that has left would be sent to for good."""
+    w = world(settings={**SETTINGS, "discovery": "pushed"})
+    until(lambda: w.discovery.watches, "a watch")
+    w.discovery.change(w.runners[0].target(state="leaving"))
+    until(lambda: "draining" in str(w.program.events("list")), "the change")
+    for n in range(4):
+        with w.client() as c:
+            assert c.open(f"c=test-run,d=2500,g={n}") == b"UP s-1\r\n"
+    w.discovery.mute = True
+    until(lambda: w.program.events("discovery failed"), "the silence")
+    w.discovery.mute = False
+    w.discovery.change(w.runners[0].target(), w.runners[1].target(state="leaving"))
+    until(lambda: '["s-1", "draining"' in json.dumps(w.program.events("list")), "the change")
+
+
 PROBING = {**SETTINGS, "report": {"how": "probe", "fields": ["inflight", "x0"]}, "tariffs": {"probe": 0.003},
            "limits": {**SETTINGS["limits"], "probes": True}}
 
