--- a/aspensaddle/daemon/service.py
+++ b/aspensaddle/daemon/service.py
@@ -50,7 +50,8 @@
             from aspensaddle.daemon.stored import StoreList
             self.list = StoreList(replica, self.driver, self.fleet, self.counters, log)
         elif config.discovery is not None:
-            self.list = Discovery(config.discovery, self.driver, self.fleet, self.counters, log)
+            self.list = Discovery(config.discovery, self.driver, self.fleet, self.counters, log, config.seed,
+                                  agent=not config.settings.ask_discovery)
             self.list.rev = config.known.rev
         self.clients = Clients(_lines(config), self.driver, self.servers, self.fleet, self.counters, log,
                                reserve=0 if quic is None else quic.most_sockets + 2)
@@ -79,10 +80,10 @@
             self.quic.bind()
         async with trio.open_nursery() as self._nursery:
             self.driver.start(self.fleet.take(self.config.known))
-            if isinstance(self.list, Discovery) and not self.config.settings.ask_discovery:
+            if isinstance(self.list, Discovery):
                 # Lists that are pushed come to an agent on this machine, and from there to whoever watches it. What
                 # it has counts as told, so it is watched from the first moment; asking it costs nothing.
-                self._call(self.list.watch)
+                self._call(self.list.start)
             self._nursery.start_soon(self._keep, self._timers)
             self._nursery.start_soon(self._keep, self.clients.sweep)
             self._nursery.start_soon(self._keep, self.clients.serve, listener, self._nursery)
