--- a/aspensaddle/fronts/lines/admission.py
+++ b/aspensaddle/fronts/lines/admission.py
@@ -20,9 +20,9 @@
 from aspensaddle.support.counters import Counters
 
 BATCH = 16  # connections accepted before those that are there have their turn
-# Beside clients, runners and probes: standard streams 3, epoll 1, trio's wakeup 2, listener 1, discovery's calls 3, a
-# file that is read 2; a batch that is still to be told that it is over its share, and the accept that is over it.
-FIXED = 12 + BATCH + 1
+# Beside clients, runners and probes: standard streams 3, the loop 5, listener 1, discovery's calls 3, a file that is
+# read 2; and a batch of those who were told that they are over their share and have not gone yet.
+FIXED = 14 + BATCH
 LEAST_ASIDE = 8  # of those who wait, and of those who linger
 FIRST_LINE_WITHIN = 2.0  # from the accept on, whatever comes; the pages owe a client 3 s from its connect on
 LINGER_WITHIN = 0.7  # a connection whose runner has ended has to be ended within a second
@@ -80,6 +80,12 @@
         """Whether one more with a valid OPEN could want for a descriptor to its runner."""
         return self.asking >= self.most_asking
 
+    def room(self, starting: int = 0) -> bool:
+        """Whether one more may be accepted: those who were told to go need a moment to be gone. `starting` are
+        accepted already and not in a stage yet."""
+        aside = self.count(Stage.WAITING) + self.count(Stage.LINGERING) + starting
+        return aside < self.most_waiting + self.most_lingering + BATCH
+
     @contextmanager
     def stay(self, link: Link) -> Iterator[Stay]:
         """A connection's stay, from its accept until it is closed."""
--- a/aspensaddle/fronts/lines/clients.py
+++ b/aspensaddle/fronts/lines/clients.py
@@ -32,7 +32,7 @@
 ADOPT_WITHIN = 38.0  # the pages: one that is not up after 40 s is lost
 ADOPT_AGAIN = 0.5
 SWEEP = 0.25
-NO_ROOM = 0.02  # seconds for one that was told to go, before the next accept
+NO_ROOM = 0.005  # seconds for those who were told to go, before the next accept
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +62,7 @@
         self.placing: dict[str, Pending] = {}  # no answer is decided yet
         self.standing: dict[str, Pending] = {}
         self.newcomers = True  # False: they are refused, as the process ends
+        self._starting = 0  # connections that are accepted, and their tasks not begun
         self.moving = False  # who stands from now on is moved at once
         self.config = config
         self._tellers: dict[int, Teller] = {}
@@ -93,6 +94,9 @@
     def accept(self, listener: Listener, nursery: trio.Nursery) -> bool:
         """Take in what has come, a batch at most; False where there was no descriptor for it."""
         for _ in range(BATCH):
+            if not self.admission.room(self._starting):
+                self.admission.make_room()
+                return False
             try:
                 stream = listener.accept()
             except OSError as e:
@@ -102,12 +106,14 @@
             if stream is None:
                 break
             self.counters.add("connections")
+            self._starting += 1
             nursery.start_soon(self._client, stream, self.lateness.since, self.lateness.passes)
         return True
 
     async def _client(self, stream: trio.SocketStream, since: float, passes: int) -> None:
         """One connection, and the one owner of its end. A fault of this program ends it and no other."""
         link = Link(stream)
+        self._starting -= 1
         with self.admission.stay(link) as stay:
             try:
                 try:
--- a/tests/inside.py
+++ b/tests/inside.py
@@ -78,7 +78,7 @@
     """The front and what it stands on."""
 
     def __init__(self, runners: list[Runner], sockets: int = 512, lanes: list[dict[str, Any]] | None = None,
-                 **limits: Any) -> None:
+                 targets: list[dict[str, Any]] | None = None, **limits: Any) -> None:
         settings = parse_settings({**SETTINGS, "lanes": lanes or [LANE],
                                    "limits": {**SETTINGS["limits"], "connect-timeout": 2.0, **limits}})
         self.runners, self.events = runners, list[tuple[str, dict[str, Any]]]()
@@ -93,7 +93,7 @@
         self.config = LinesSettings({n: i for i, n in enumerate(names)}, {}, settings, sockets)
         self.clients = Clients(self.config, self.driver, self.servers, self.fleet, self.counters, log)
         self.listener = Listener(("127.0.0.1", 0))
-        self.driver.start(self.take(*(r.target() for r in runners)))
+        self.driver.start(self.take(*(targets or [r.target() for r in runners])))
         self.count = 0
 
     def take(self, *targets: dict[str, Any]) -> Any:
--- a/tests/test_answer_delivery.py
+++ b/tests/test_answer_delivery.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 from inside import Gate, Inside
 from standins import Runner
 
@@ -70,7 +71,31 @@
         peer.stream.socket.close()
         await f.gone()
 
-    Inside([runner], max_attempts=1, **{"most-tries": 1}).run(script)
+    Inside([runner], **{"most-tries": 1}).run(script)
+
+
+def test_the_end_of_the_process_between_two_lines_does_not_take_an_answer_with_it(monkeypatch):
+    runner = Runner("s-0", b"BUSY\r\n")
+    send = Link.send
+
+    async def script(f):
+        gate = Gate()
+
+        async def held(link, data):
+            if data.startswith(b"BUSY"):
+                await gate.pass_through()
+            await send(link, data)
+
+        monkeypatch.setattr(Link, "send", held)
+        peer = await f.asks()
+        await gate.reached.wait()
+        f.nursery.cancel_scope.cancel()
+        await trio.testing.wait_all_tasks_blocked()
+        gate.opened.set()
+        assert (await peer.rest()).startswith(b"BUSY") and not peer.was_reset
+        peer.stream.socket.close()
+
+    Inside([runner], **{"most-tries": 1}).run(script)
 
 
 def test_no_move_follows_the_end_of_a_client_s_side():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,6 +7,7 @@
 from inside import Gate, Inside
 from standins import Runner, reset
 
+from aspensaddle.core.interface import Cancel, Send
 from aspensaddle.fronts.lines.clients import Clients
 from aspensaddle.fronts.lines.link import Link
 from aspensaddle.fronts.lines.pending import Pending
@@ -215,6 +216,23 @@
     cross(place, event, monkeypatch)
 
 
+def test_a_cancel_meets_the_attempt_that_it_names_and_no_other():
+    """Also one that comes before the attempt has begun, or after the next was decided."""
+    async def main():
+        pending = Pending(None)
+        pending.act(Send("r", 1, 1.0))
+        first = pending.attempt
+        pending.act(Cancel("r", 0))
+        assert first.cancel_called
+        pending.act(Send("r", 2, 1.0))
+        pending.act(Cancel("r", 0))
+        assert not pending.attempt.cancel_called
+        pending.act(Cancel("r", 1))
+        assert pending.attempt.cancel_called
+
+    trio.run(main)
+
+
 async def _nothing(*args):
     pass
 
