Standard names where the code was touched: ejected, pending; constants and what they follow from

Two more mutations were green and have their tests now, red with them: a move that does not end a back-off (`_moved.set`), and empty lines within an indented value as signs of life (`Values._take`).

--- a/aspensaddle/core/balance.py
+++ b/aspensaddle/core/balance.py
@@ -15,7 +15,7 @@
 
 import aspensaddle.core.interface as api
 from aspensaddle.core.loads import Loads
-from aspensaddle.core.records import RING_POINTS, Area, Case, Heap, Server
+from aspensaddle.core.records import RING_POINTS, Area, Pending, Heap, Server
 from aspensaddle.core.reports import probe_every, told
 from aspensaddle.core.shares import Shares
 from aspensaddle.core.window import SLOTS
@@ -31,7 +31,7 @@
 LADEN = 0.3  # of a core, for each core that is listed: from where a server may lose what stands on it
 EVEN_EXCESS = 1.5  # how far above the fleet's mean it must be for that
 DRIFT = 0.8  # of the mean load at the last plan, and its inverse: what the plan allows it
-TRIAL_FIRST, TRIAL_LAST = 1.0, 16.0  # back-off of the trials of a dead server
+EJECT_FIRST, EJECT_LAST = 1.0, 16.0  # back-off of the probes of an ejected server
 HOLDS = 2.0  # a connection that has stood for so long was not dropped as soon as it was up
 SLOW_PART, SLOW_LASTS = 1 / 3, 2.5  # of the message aim, where notes begin; seconds, two notes missed
 FEW = 2.5  # balancers on an ordinary day (the operators' brief, 1.1)
@@ -58,11 +58,11 @@
         self.configure(settings)
         self.random, self.ask_failures = Random(seed), 0
         self.servers: dict[int, Server] = {}
-        self.requests: dict[str, Case] = {}
+        self.requests: dict[str, Pending] = {}
         self.active: dict[int, Server] = {}  # servers with a count in the window
         self.own, self.whole = Area(), Area()
         self.seen = deque[int | None](maxlen=SEEN)  # groups of those that came
-        self.restless: dict[int, Server] = {}  # servers that time alone changes: set aside, slow or cold
+        self.restless: dict[int, Server] = {}  # servers that time alone changes: ejected, slow or cold
         self.slot = self.ready = self.cold = 0
         self.dirty, self.raised = True, 0.0  # the plan is out of date; what each ratio has gained since
         self.mean, self.measures, self.planned = 1.0, 0, 1.0  # load of a connection; at the last plan
@@ -130,7 +130,7 @@
         """Servers enter at the mean ratio with a clean record, others leave; all are scaled to sum to 1."""
         for s in joined:
             s.ready = s.ready and s.id in self.servers
-            s.ratio, s.fails, s.aside_until, s.slow_until, s.drops = 0.0, 0, 0.0, 0.0, False
+            s.ratio, s.fails, s.ejected_until, s.slow_until, s.drops = 0.0, 0, 0.0, 0.0, False
         ready = [s for s in self.servers.values() if s.ready]
         old = [s.ratio for s in ready if s.ratio]
         for s in ready:
@@ -147,7 +147,7 @@
         """The least part of its capacity that a server has by now."""
         return self.rules.warmth(now - s.started) if s.started else 1.0
 
-    def _cold(self, now: float, r: Case, s: Server) -> bool:
+    def _cold(self, now: float, r: Pending, s: Server) -> bool:
         """Guards against all balancers together pushing a cold server over: each lets so much of what comes,
         at random, go to cold ones that all keep the rule. A debt of each lets next to nothing through."""
         if (warmth := self._warmth(now, s)) >= 1.0:
@@ -178,11 +178,11 @@
             self._place(now, worst)
         for s in self.servers.values():
             if s.drops and any(now >= r.up_at + HOLDS for r in s.holds.values() if r.up_at > s.dropped_at):
-                s.drops, s.fails, s.aside_until = False, 0, 0.0
+                s.drops, s.fails, s.ejected_until = False, 0, 0.0
         for s in list(self.restless.values()):
             if s.holds and now > s.noted_at + SLOW_LASTS:  # what stands there has no more to tell
                 s.slow_until = min(s.slow_until, now)
-            if self.slot % 2 or s.fit != (s.aside_until <= now and s.slow_until <= now):  # warmth can wait
+            if self.slot % 2 or s.fit != (s.ejected_until <= now and s.slow_until <= now):  # warmth can wait
                 self._place(now, s)
         self._look(now)
         self.broke, self.came = self.broke * FORGETS, self.came * (1 - 1 / SLOTS)
@@ -263,7 +263,7 @@
 
     # ------------------------------------------------------------ rotation
 
-    def _charge(self, s: Server, r: Case, sign: int) -> None:
+    def _charge(self, s: Server, r: Pending, sign: int) -> None:
         """A connection costs its load while it lasts, so that shares hold for load, not arrivals."""
         self.shares.count(r.ask.tenant, sign)
         if r.load is None:
@@ -329,7 +329,7 @@
         if self.reports:  # they tell what it can do now, cold or not
             weight, warmth = s.told.capacity or (self.bears or 1.0) * warmth, 1.0
         s.share = (s.ratio + self.raised) * weight * warmth if s.ready else 0.0
-        s.fit = s.share > 0 and s.aside_until <= now and s.slow_until <= now
+        s.fit = s.share > 0 and s.ejected_until <= now and s.slow_until <= now
         if s.fit:
             for area in self._areas(s):
                 area.count(s, 1)
@@ -350,7 +350,7 @@
             self.held += s.carried
             self._place(now, s)
 
-    def _pick(self, now: float, r: Case) -> Server | None:
+    def _pick(self, now: float, r: Pending) -> Server | None:
         areas = [self.own, self.whole] if not self._homes(r) and self._local() else [self.whole]
         for lax in range(3):  # slow servers too, then all that may be sent to
             for area in areas:
@@ -368,7 +368,7 @@
         return own.fit > 0 and not busy and \
             own.level() <= LOCAL_EXCESS * self.settings.zones * self.whole.level()
 
-    def _home(self, now: float, area: Area, r: Case) -> Server | None:
+    def _home(self, now: float, area: Area, r: Pending) -> Server | None:
         """Each server that holds any of a group pays for it: its members go to the first server of their walk
         round the ring that is not ahead of the rotation by more than a bounded excess, to cold ones first.
         Where packets pass through, keys do the same: at another balancer a connection finds its server."""
@@ -388,14 +388,14 @@
                     break
         return min(homes.values(), key=lambda s: (self._warmth(now, s) == 1.0, s.key), default=None)
 
-    def _homes(self, r: Case) -> int:
+    def _homes(self, r: Pending) -> int:
         """How many servers of its walk a group is spread over, by its share of what came, where what is
         carried can't tell: with less than a connection a server, many balancers would scatter it. Else 0."""
         if r.ask.group is None or self.settings.balancers <= FEW or len(self.requests) >= self.ready:
             return 0
         return 1 + int(self.ready * self.seen.count(r.ask.group) / (len(self.seen) + GROUPS))
 
-    def _due(self, now: float, heap: Heap, r: Case, lax: int) -> Server | None:
+    def _due(self, now: float, heap: Heap, r: Pending, lax: int) -> Server | None:
         """The server whose turn it is."""
         passed, chosen = [], None
         while heap and chosen is None:
@@ -403,7 +403,7 @@
             s = entry[2]
             if entry[0] == s.key and s.ready:  # else an older place of this server
                 passed.append(entry)
-                fit = s.fit or lax and s.aside_until <= now
+                fit = s.fit or lax and s.ejected_until <= now
                 if (lax > 1 or fit and s.id not in r.tried) and self._may_send(now, r, s):
                     chosen = s
         for entry in passed:
@@ -430,7 +430,7 @@
     def _request(self, now: float, event: api.Request) -> list[api.Action]:
         if event.id in self.requests or not 0 <= event.cls < len(self.settings.classes):
             return []
-        r = self.requests[event.id] = Case(event, now + event.time_left)
+        r = self.requests[event.id] = Pending(event, now + event.time_left)
         if r.load is not None:
             self._measure(now, r.load)
         self.seen.append(r.ask.group)
@@ -444,7 +444,7 @@
         self.came += 1
         return self._attempt(now, r)
 
-    def _may_send(self, now: float, r: Case, s: Server) -> bool:
+    def _may_send(self, now: float, r: Pending, s: Server) -> bool:
         """Whether an attempt there can have no second effect and push no cold server over."""
         cls, first = self.settings.classes[r.ask.cls], r.ran_on
         if first is not None and cls.repeat is not api.Repeat.SAFE:
@@ -453,15 +453,15 @@
                 return False
         return not self._cold(now, r, s) and (not s.told.capacity or s.carried <= r.limit * s.told.capacity)
 
-    def _attempt(self, now: float, r: Case) -> list[api.Action]:
+    def _attempt(self, now: float, r: Pending) -> list[api.Action]:
         left = r.deadline - now
         s = self._pick(now, r) if left > 0 and r.attempts < self.limits.max_attempts else None
         if s is None:
             return self._give_up(now, r)
         r.attempts, r.sent_at, r.server, r.tried = r.attempts + 1, now, s, [*r.tried, s.id]
         s.filled_at = now
-        if s.aside_until:  # a trial: no other attempt until it has ended
-            s.aside_until = max(s.aside_until, now + left)
+        if s.ejected_until:  # a half-open probe: no other attempt until it has ended
+            s.ejected_until = max(s.ejected_until, now + left)
             self._place(now, s)
         self._charge(s, r, 1)
         return [api.Send(r.ask.id, s.id, left)]
@@ -472,10 +472,10 @@
             self._accept(now, r, r.server, event.latency)
             r.server.holds[event.id] = r
 
-    def _accept(self, now: float, r: Case, s: Server, latency: float) -> None:
+    def _accept(self, now: float, r: Pending, s: Server, latency: float) -> None:
         r.stands, r.up_at = True, now
-        if s.drops or s.fails:  # of one that dropped some the trial is over when the connection has held
-            s.fails, s.aside_until = (s.fails, now + HOLDS) if s.drops else (0, 0.0)
+        if s.drops or s.fails:  # of one that dropped some the ejection is over when the connection has held
+            s.fails, s.ejected_until = (s.fails, now + HOLDS) if s.drops else (0, 0.0)
             self._place(now, s)
         self._count(s, latency <= self.settings.classes[r.ask.cls].aim)
 
@@ -498,8 +498,8 @@
                 failed, s.drops, s.dropped_at = True, True, now
             s.fails += failed
             if failed and (outcome is api.Outcome.UNREACHABLE or s.fails > 1):
-                wait = min(TRIAL_LAST, TRIAL_FIRST * 2 ** min(s.fails - 1, 10))
-                s.aside_until = now + wait * self.random.uniform(0.75, 1.25)
+                wait = min(EJECT_LAST, EJECT_FIRST * 2 ** min(s.fails - 1, 10))
+                s.ejected_until = now + wait * self.random.uniform(0.75, 1.25)
                 self._place(now, s)
         if event.finished or r.stands:
             del self.requests[event.id]
@@ -508,7 +508,7 @@
             r.ran_on, r.ran_at = s, r.sent_at
         return self._attempt(now, r)
 
-    def _release(self, r: Case, s: Server) -> None:
+    def _release(self, r: Pending, s: Server) -> None:
         self._charge(s, r, -1)
         s.holds.pop(r.ask.id, None)
         r.server = None
@@ -516,7 +516,7 @@
     def _adopted(self, now: float, event: api.Adopted) -> None:
         s, id = self.servers.get(event.server), event.request.id
         if s is not None and id not in self.requests:
-            r = self.requests[id] = s.holds[id] = Case(event.request, float("inf"))
+            r = self.requests[id] = s.holds[id] = Pending(event.request, float("inf"))
             r.attempts, r.server, r.stands = 1, s, True
             self.seen.append(r.ask.group)
             self._charge(s, r, 1)
@@ -541,7 +541,7 @@
 
     # ------------------------------------------------------------ refusals
 
-    def _give_up(self, now: float, r: Case) -> list[api.Action]:
+    def _give_up(self, now: float, r: Pending) -> list[api.Action]:
         """The final answer of a request that is not placed. A refusal says that a repeat is harmless."""
         del self.requests[r.ask.id]
         if r.ran_on is not None and not self.settings.classes[r.ask.cls].harmless_again:
--- a/aspensaddle/core/driver.py
+++ b/aspensaddle/core/driver.py
@@ -245,7 +245,7 @@
         now = self.now()
         return {s.id: {"connections": len(s.holds), "load": round(s.carried, 4), "share": round(s.share, 4),
                        "sends": s.window.sends, "accepts": s.window.accepts,
-                       "aside": round(max(0.0, s.aside_until - now), 2),
+                       "ejected": round(max(0.0, s.ejected_until - now), 2),
                        "slow": round(max(0.0, s.slow_until - now), 2)}
                 for s in self.balancer.servers.values()}
 
--- a/aspensaddle/core/records.py
+++ b/aspensaddle/core/records.py
@@ -28,8 +28,8 @@
         self.known, self.unknown, self.mine = 0.0, 0, 0.0  # load told, connections of untold load, both
         self.carried = 0.0  # that, or where reports tell it the load of all balancers
         self.groups = Counter[int]()  # of the connections here, standing or on their way
-        self.holds: dict[str, Case] = {}  # connections that stand
-        self.fails, self.aside_until, self.slow_until, self.noted_at = 0, 0.0, 0.0, 0.0
+        self.holds: dict[str, Pending] = {}  # connections that stand
+        self.fails, self.ejected_until, self.slow_until, self.noted_at = 0, 0.0, 0.0, 0.0
         self.drops, self.dropped_at, self.filled_at = False, 0.0, 0.0  # as soon as it was up; last sent one
         self.fit = False  # counts in its areas' shares
         self.points = [(hash((self.id, i)), self.id, self) for i in range(RING_POINTS)]  # alike everywhere
@@ -60,7 +60,7 @@
         self.carried = self.carried + sign * s.carried if self.fit else 0.0
 
 
-class Case:
+class Pending:
     """A request or the connection it became."""
 
     def __init__(self, ask: api.Request, deadline: float) -> None:
--- a/tests/test_discovery_freshness.py
+++ b/tests/test_discovery_freshness.py
@@ -9,6 +9,7 @@
 
 import pytest
 import trio
+import trio.testing
 from hypothesis import given
 from hypothesis import strategies as st
 from standins import SETTINGS, WAIT, Discovery, Program, Runner, Server, reset, until
@@ -231,6 +232,18 @@
     play(Scripted(never_whole, follows(listed(2, "s-1"))), script)
 
 
+def test_empty_lines_within_a_value_are_none():
+    def never_whole(server, connection):
+        connection.sendall(HEAD + chunk(listed(1, "s-0") + b'{"rev": 2,\n'))
+        server.drip(connection, chunk(b"\r\n"))
+
+    async def script(p):
+        await seen(lambda: len(p.told.lists) == 2)
+        assert p.told.revs == [1, 3]
+
+    play(Scripted(never_whole, follows(listed(3, "s-1"))), script)
+
+
 def test_empty_lines_are_signs_of_life():
     async def script(p):
         await seen(lambda: p.told.lists)
@@ -409,6 +422,19 @@
     new.close()
 
 
+def test_a_move_ends_the_back_off_that_the_old_address_has_earned():
+    new = Scripted(follows(listed(2, "new")))
+
+    async def script(p):
+        await seen(lambda: [name for name, _ in p.events if name == "discovery failed"])
+        await trio.testing.wait_all_tasks_blocked()
+        p.calls.move(new.address)
+        await seen(lambda: p.told.lists)
+
+    play(Scripted(refuses), script, WAIT_FIRST=3 * WAIT, WAIT_LAST=3 * WAIT)
+    new.close()
+
+
 # ------------------------------------------------------------ the program
 
 
--- a/tests/test_extensions.py
+++ b/tests/test_extensions.py
@@ -14,7 +14,7 @@
 TWO_ZONES = [entry(n, zone=n % 2) for n in range(10)]
 
 
-def test_a_server_that_cannot_be_reached_is_set_aside_and_tried_once():
+def test_a_server_that_cannot_be_reached_is_ejected_and_tried_once():
     d = Driver(3)
     (send,) = d.ask()
     d.end(send, Outcome.UNREACHABLE)
@@ -24,10 +24,10 @@
     trials = [a for a in (d.ask()[0] for _ in range(9)) if a.server == send.server]
     assert len(trials) == 1
     d.end(trials[0], Outcome.UNREACHABLE)
-    assert d.b.servers[send.server].aside_until > d.now + 1.4  # backed off
+    assert d.b.servers[send.server].ejected_until > d.now + 1.4  # backed off
 
 
-def test_a_trial_that_stands_ends_the_setting_aside():
+def test_a_probe_that_stands_ends_the_ejection():
     d = Driver(2)
     (send,) = d.ask()
     d.end(send, Outcome.UNREACHABLE)
@@ -38,7 +38,7 @@
     assert d.b.servers[send.server].fails == 0
 
 
-def test_a_server_that_drops_connections_as_soon_as_they_are_up_is_set_aside_until_one_holds():
+def test_a_server_that_drops_connections_as_soon_as_they_are_up_is_set_ejected_until_one_holds():
     """Such a server carries nothing, so its turn would come again and again."""
     d = Driver(3)
     bad, sent = d.place().server, 0
@@ -59,7 +59,7 @@
     assert d.b.servers[bad].fails == 0 and any(d.place().server == bad for _ in range(60))
 
 
-def test_an_old_connection_that_breaks_sets_nobody_aside():
+def test_an_old_connection_that_breaks_ejects_nobody():
     d = Driver(2)
     sends = [d.place() for _ in range(8)]
     d.now += 10.0
@@ -214,14 +214,14 @@
     assert not moves(light)  # far from evenly, but hardly any load
     alone = laden(2)
     other = alone.b.servers[2]
-    other.aside_until = alone.now + 100
+    other.ejected_until = alone.now + 100
     alone.b._plan(alone.now)
     assert not moves(alone)
 
 
 def test_what_moves_first_frees_a_group_too():
     d = Driver(2, settings=replace(SETTINGS, groups=True))
-    d.b.servers[2].aside_until = d.now + 1.0
+    d.b.servers[2].ejected_until = d.now + 1.0
     d.b._plan(d.now)
     for _ in range(20):
         d.place(load=0.05, group=1)
@@ -241,7 +241,7 @@
 def test_a_zone_cut_off_is_left():
     d = Driver(TWO_ZONES, settings=replace(SETTINGS, zones=2))
     for server in range(0, 10, 2):
-        d.b.servers[server].fails, d.b.servers[server].aside_until = 1, d.now + 5
+        d.b.servers[server].fails, d.b.servers[server].ejected_until = 1, d.now + 5
     d.b._plan(d.now)
     assert all(d.place().server % 2 == 1 for _ in range(5))
 
