--- a/aspensaddle/core/balance.py
+++ b/aspensaddle/core/balance.py
@@ -70,7 +70,7 @@
         self.mine = self.blind = 0.0  # load of this balancer; part of balancers not told of slow servers
         self.bears = self.stand = 0.0  # by reports: what a warm server can do; connections of all balancers
         self.loads, self.light, self.beyond = Loads(), float("inf"), 0.0  # the heaviest; part of load beyond
-        self.broke, self.came, self.new = 0.0, SLOTS * TICK, 1.0  # breaks seen; requests of late; part not yet seen
+        self.broke, self.came, self.new = 0.0, SLOTS * TICK, 1.0  # breaks, requests of late, part unseen
         self.handlers: dict[type, Callable[..., list[api.Action] | None]] = {
             api.Started: self._started, api.TimerFired: self._timer_fired, api.Ended: self._ended,
             api.ServersChanged: self._servers_changed, api.Request: self._request, api.Adopted: self._adopted,
@@ -161,7 +161,7 @@
         part = min(looks / max(1, self.ready), 1 / max(1, self.cold))
         if r.ask.group is not None and not self._homes(r):  # all of it comes to the first of its walk
             part = max(part, self.seen.count(r.ask.group) / max(1, len(self.seen)))
-        # Guards against a new process taking a rush for little: what comes is ten a second, until it has seen.
+        # Guards against a new process taking a rush for little: ten a second come, until it has seen.
         known = (self.came - (SLOTS * TICK - 1) * self.new) / (SLOTS * TICK * (1.01 - self.new))
         asked = one * known * POPULAR * part
         r.draw = r.draw or self.random.random()  # one for all cold servers that it meets
