--- a/aspensaddle/fronts/lines/relay.py
+++ b/aspensaddle/fronts/lines/relay.py
@@ -18,7 +18,7 @@
 # A line's wait after which the runner is held to be cut off. The rule is 7 s of silence: a client's next line
 # leaves within 2 s of it, and it is looked for four times a second.
 SILENT = 4.5
-RUNNER_END_WITHIN = 5.0  # and the other way round
+RUNNER_END_WITHIN = 5.0  # for a runner to end its side once its client has
 LINE_HELD = 0.9  # the rule: a second
 NO_ECHO = (b"UP", b"BYE", b"MOVE")  # a runner's own words; any other line is a client's that comes back
 
