Try an adoption again after its first attempt failed

Callers saw: a client that returned with at= to a server which refused or reset it once, or was not listed yet, got ERR at once with 38 s left, and its connection was lost.

Cause: ConnectionAdopter entered state.attempt_scope for each attempt and each pause, and nothing renewed it there; trio refuses a cancel scope's second use with RuntimeError. It was counted and logged as internal_error, but no test looked.

RequestState.renew_attempt_scope gives each step its own scope, cancelled already if the request was decided. Attempts are now bounded by the settings and by what the class allows after an attempt that may have been executed, with backoff, which matters only since there are more than one. Looked for the same elsewhere: the scopes of slots, watch calls, relays and placements are made per object and entered once; RequestState.act makes its own.

--- a/aspensaddle/frontends/line_protocol/connection_adopter.py
+++ b/aspensaddle/frontends/line_protocol/connection_adopter.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from functools import partial
 
 import trio
 
+from aspensaddle.core.events import Outcome
+from aspensaddle.core.settings import RequestClass
 from aspensaddle.frontends.line_protocol.frontend_state import FrontendState
 from aspensaddle.frontends.line_protocol.link import Link
 from aspensaddle.frontends.line_protocol.open_connections import OpenConnections
@@ -16,19 +19,52 @@
 from aspensaddle.frontends.line_protocol.server_connector import AttemptEstablished
 
 ADOPTION_TIMEOUT_SECONDS = 38.0  # the protocol counts a connection as lost after 40 s
-ADOPTION_RETRY_SECONDS = 0.5
+ATTEMPT_TIMEOUT_SECONDS = 5.0  # of a server that is silent, where another attempt is allowed
+INITIAL_BACKOFF_SECONDS = 0.5
+MAX_BACKOFF_SECONDS = 8.0  # with six attempts these cover most of the time
+ENDPOINT_LIST_CHECK_SECONDS = 0.1  # between two looks for a server that is not listed yet
+
+
+class AdoptionResult(Enum):
+    """How an adoption ended."""
+
+    ESTABLISHED = "established"
+    SERVED = "served"  # completely, without an open connection
+    CLIENT_DISCONNECTED = "client_disconnected"
+    PROTOCOL_VIOLATION = "protocol_violation"
+    RETRY_NOT_ALLOWED = "retry_not_allowed"  # an attempt may have been executed, and the class forbids another
+    ATTEMPTS_EXHAUSTED = "attempts_exhausted"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    SHUTTING_DOWN = "shutting_down"
 
 
 @dataclass(slots=True)
 class _Adoption:
-    """What became of a connection to adopt so far."""
+    """What became of a connection to adopt so far. Times are of the event loop's clock, in seconds."""
 
     state: RequestState
     open_request: OpenRequest
     server_name: str
+    request_class: RequestClass
     deadline: float
     server: int | None = None
+    attempts: int = 0
+    possibly_executed_at: float | None = None
     established: AttemptEstablished | None = None
+    response: bytes = b""  # of a server that served the request at once
+    result: AdoptionResult = AdoptionResult.CLIENT_DISCONNECTED  # until it is known
+
+    @property
+    def may_retry(self) -> bool:
+        """Whether the class allows one more attempt now."""
+        if self.possibly_executed_at is None:
+            return True
+        return self.request_class.allows_retry_after(trio.current_time() - self.possibly_executed_at)
+
+    @property
+    def client_may_retry(self) -> bool:
+        """Whether it is harmless that the client asks again."""
+        return self.possibly_executed_at is None or self.request_class.client_may_retry
 
 
 class ConnectionAdopter:
@@ -40,49 +76,91 @@
 
     async def run(self, client: Link, open_request: OpenRequest, server_name: str) -> ConnectionEnd:
         """Reopen a connection, relay it, and return how the client's connection ends."""
+        request = open_request.request
+        request_class = self._frontend.config.settings.classes[request.class_index]
         deadline = trio.current_time() + ADOPTION_TIMEOUT_SECONDS
-        adoption = _Adoption(RequestState(client), open_request, server_name, deadline)
+        adoption = _Adoption(RequestState(client), open_request, server_name, request_class, deadline)
         await adoption.state.run_while_client_waits(partial(self._reopen, adoption))
-        self._log(adoption)
+        if adoption.established is None and adoption.state.protocol_violation:
+            adoption.result = AdoptionResult.PROTOCOL_VIOLATION
+        self._record(adoption)
         if adoption.established is None or adoption.server is None:
-            violation = adoption.state.protocol_violation
-            return ConnectionEnd(ERROR if violation else self._frontend.unavailable_response())
-        request = open_request.request
+            return ConnectionEnd(self._response(adoption))
         self._frontend.driver.connection_adopted(adoption.state, request, adoption.server)
         return await self._connections.serve(
             client, adoption.state, request.request_id, adoption.server, adoption.established
         )
 
     async def _reopen(self, adoption: _Adoption) -> None:
-        """Retry until the server accepts, the time is over or the process shuts down."""
-        placing, request_id = self._frontend.pending_requests, adoption.open_request.request.request_id
-        state = adoption.state
+        """Make attempts until one is established or no other is allowed."""
+        pending, request_id = self._frontend.pending_requests, adoption.open_request.request.request_id
+        pending[request_id] = adoption.state
         try:
-            placing[request_id] = state
-            while adoption.established is None and trio.current_time() < adoption.deadline and state.final is None:
+            while (result := self._result_now(adoption)) is None:
+                if adoption.server is None:  # the list may come later than the client
+                    await self._pause(adoption, ENDPOINT_LIST_CHECK_SECONDS)
+                    continue
                 await self._attempt(adoption)
-                if adoption.established is None:
-                    with state.attempt_scope:
-                        await trio.sleep(ADOPTION_RETRY_SECONDS)
+                if self._result_now(adoption) is None:
+                    await self._pause(adoption, _backoff(adoption.attempts))
+            adoption.result = result
         finally:
-            del placing[request_id]
+            del pending[request_id]
 
-    async def _attempt(self, adoption: _Adoption) -> None:
-        adoption.server = self._frontend.endpoints.find(adoption.server_name)
+    def _result_now(self, adoption: _Adoption) -> AdoptionResult | None:
+        """Return how the adoption ended, or None if it goes on."""
+        if adoption.established is not None:
+            return AdoptionResult.ESTABLISHED
+        if adoption.response:
+            return AdoptionResult.SERVED
+        if adoption.state.final is not None:
+            return AdoptionResult.SHUTTING_DOWN
+        if trio.current_time() >= adoption.deadline:
+            return AdoptionResult.DEADLINE_EXCEEDED
+        if adoption.attempts >= self._frontend.config.settings.limits.max_attempts:
+            return AdoptionResult.ATTEMPTS_EXHAUSTED
+        if not adoption.may_retry:
+            return AdoptionResult.RETRY_NOT_ALLOWED
         if adoption.server is None:
-            return
-        with adoption.state.attempt_scope:
+            adoption.server = self._frontend.endpoints.find(adoption.server_name)
+        return None
+
+    async def _attempt(self, adoption: _Adoption) -> None:
+        """Make one attempt and note its outcome."""
+        state, server = adoption.state, adoption.server
+        assert server is not None
+        adoption.attempts += 1
+        started_at = trio.current_time()
+        with state.renew_attempt_scope():
             result = await self._frontend.connector.attempt(
-                adoption.server,
+                server,
                 adoption.open_request.line_for_server,
-                adoption.deadline - trio.current_time(),
-                adoption.state.client_is_connected,
+                _attempt_timeout(adoption),
+                state.client_is_connected,
             )
             if isinstance(result, AttemptEstablished):
                 adoption.established = result
+            elif result.outcome is Outcome.OK:
+                adoption.response = result.response
+            elif not result.outcome.known_not_executed and adoption.possibly_executed_at is None:
+                adoption.possibly_executed_at = started_at
+
+    @staticmethod
+    async def _pause(adoption: _Adoption, seconds: float) -> None:
+        """Wait between two attempts; the shutdown ends the wait early."""
+        with adoption.state.renew_attempt_scope():
+            await trio.sleep_until(min(trio.current_time() + seconds, adoption.deadline))
+
+    def _response(self, adoption: _Adoption) -> bytes:
+        if adoption.response:
+            return adoption.response
+        if adoption.result is AdoptionResult.PROTOCOL_VIOLATION or not adoption.client_may_retry:
+            return ERROR
+        return self._frontend.unavailable_response()
 
-    def _log(self, adoption: _Adoption) -> None:
+    def _record(self, adoption: _Adoption) -> None:
         request = adoption.open_request.request
+        self._frontend.counters.add(f"adoptions_{adoption.result.value}")
         self._frontend.log.event(
             "connection_adopted",
             request_id=request.request_id,
@@ -91,4 +169,19 @@
             session_group=request.session_group,
             server=adoption.server_name,
             established=adoption.established is not None,
+            result=adoption.result.value,
+            attempts=adoption.attempts,
         )
+
+
+def _backoff(attempts: int) -> float:
+    """Return the pause in seconds after the given number of attempts."""
+    return min(MAX_BACKOFF_SECONDS, INITIAL_BACKOFF_SECONDS * 2.0 ** (attempts - 1))
+
+
+def _attempt_timeout(adoption: _Adoption) -> float:
+    """Return how long an attempt may take in seconds: all that is left where no other may follow it."""
+    time_left = adoption.deadline - trio.current_time()
+    if adoption.request_class.allows_retry_after(ATTEMPT_TIMEOUT_SECONDS):
+        return min(ATTEMPT_TIMEOUT_SECONDS, time_left)
+    return time_left
--- a/aspensaddle/frontends/line_protocol/request_state.py
+++ b/aspensaddle/frontends/line_protocol/request_state.py
@@ -23,7 +23,7 @@
     Attributes:
         client: The client's connection.
         final: The decision that ended the placement without a connection.
-        attempt_scope: Cancels the attempt decided last, whether it has begun or not.
+        attempt_scope: Cancels the attempt decided last, whether it has begun or not; entered once.
         attempts: Attempts decided so far.
         placement_scope: Cancels the whole placement.
         relay: Relay of the open connection.
@@ -95,6 +95,16 @@
         assert decision is not None
         return decision
 
+    def renew_attempt_scope(self) -> trio.CancelScope:
+        """Return a new scope for the next step of this request; a scope can be entered only once.
+
+        It is cancelled already if the request was decided meanwhile.
+        """
+        self.attempt_scope = trio.CancelScope()
+        if self.final is not None:
+            self.attempt_scope.cancel()
+        return self.attempt_scope
+
     async def run_while_client_waits(self, place: Callable[[], Awaitable[None]]) -> None:
         """Run `place`, and cancel it when the client disconnects or violates the protocol."""
         async with trio.open_nursery() as nursery:
