Check before an adoption's first byte that its server is ready

Callers saw: an adoption was sent to a server that drains or had left the list, which answers BUSY; with more than one attempt it would have been sent again and again, against the drain rule, while its client waited.

Cause: the adopter asked only whether the client is connected.

The four cases of test_a_server_that_drains_or_leaves_gets_no_other_attempt fail on the commit before.

--- a/aspensaddle/core/driver.py
+++ b/aspensaddle/core/driver.py
@@ -44,7 +44,7 @@
 )
 from aspensaddle.core.protocols import ProcessServices, RequestHandler
 from aspensaddle.core.retry_after import shutdown_retry_after
-from aspensaddle.core.server_snapshot import ServerSnapshot
+from aspensaddle.core.server_snapshot import ServerSnapshot, snapshot_servers
 from aspensaddle.core.settings import Settings
 from aspensaddle.core.slow_responses import SlowResponseDetector
 from aspensaddle.core.timers import TimerQueue
@@ -162,6 +162,14 @@
         active.first_byte_sent = active.handler.client_is_connected()
         return active.first_byte_sent
 
+    def is_ready(self, server: int) -> bool:
+        """Return whether a server is listed and not draining."""
+        return server in self._ready_servers
+
+    def may_start_adoption(self, handler: RequestHandler, server: int) -> bool:
+        """Return whether an attempt to adopt a connection may send its first byte, which is then done at once."""
+        return self.is_ready(server) and self.now() < self._attempts_end_at and handler.client_is_connected()
+
     def stop_attempts_after(self, seconds: float) -> None:
         """Start no attempt later than this: the process shuts down."""
         self._attempts_end_at = min(self._attempts_end_at, self.now() + seconds)
@@ -251,19 +259,7 @@
 
     def server_snapshots(self) -> dict[int, ServerSnapshot]:
         """Return what is known of each server, by its number."""
-        now = self.now()
-        return {
-            server.id: ServerSnapshot(
-                connections=len(server.connections),
-                load=round(server.load, 4),
-                share=round(server.share, 4),
-                sends=server.window.sends,
-                accepts=server.window.accepts,
-                ejected_seconds=round(max(0.0, server.ejected_until - now), 2),
-                slow_seconds=round(max(0.0, server.slow_until - now), 2),
-            )
-            for server in self.balancer.servers.values()
-        }
+        return snapshot_servers(self.balancer.servers.values(), self.now())
 
     # ------------------------------------------------------------ events in, actions out
 
--- a/aspensaddle/core/server_snapshot.py
+++ b/aspensaddle/core/server_snapshot.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from aspensaddle.core.server_state import Server
+
 
 @dataclass(frozen=True, slots=True)
 class ServerSnapshot:
@@ -16,3 +19,19 @@
     accepts: int
     ejected_seconds: float  # remaining
     slow_seconds: float  # remaining
+
+
+def snapshot_servers(servers: Iterable[Server], now: float) -> dict[int, ServerSnapshot]:
+    """Return what is known of each server at the time `now`, by its number."""
+    return {
+        server.id: ServerSnapshot(
+            connections=len(server.connections),
+            load=round(server.load, 4),
+            share=round(server.share, 4),
+            sends=server.window.sends,
+            accepts=server.window.accepts,
+            ejected_seconds=round(max(0.0, server.ejected_until - now), 2),
+            slow_seconds=round(max(0.0, server.slow_until - now), 2),
+        )
+        for server in servers
+    }
--- a/aspensaddle/frontends/line_protocol/connection_adopter.py
+++ b/aspensaddle/frontends/line_protocol/connection_adopter.py
@@ -32,6 +32,7 @@
     SERVED = "served"  # completely, without an open connection
     CLIENT_DISCONNECTED = "client_disconnected"
     PROTOCOL_VIOLATION = "protocol_violation"
+    SERVER_UNAVAILABLE = "server_unavailable"  # it drains, or has left the endpoint list
     RETRY_NOT_ALLOWED = "retry_not_allowed"  # an attempt may have been executed, and the class forbids another
     ATTEMPTS_EXHAUSTED = "attempts_exhausted"
     DEADLINE_EXCEEDED = "deadline_exceeded"
@@ -123,6 +124,8 @@
             return AdoptionResult.RETRY_NOT_ALLOWED
         if adoption.server is None:
             adoption.server = self._frontend.endpoints.find(adoption.server_name)
+        if adoption.server is not None and not self._frontend.driver.is_ready(adoption.server):
+            return AdoptionResult.SERVER_UNAVAILABLE
         return None
 
     async def _attempt(self, adoption: _Adoption) -> None:
@@ -136,7 +139,7 @@
                 server,
                 adoption.open_request.line_for_server,
                 _attempt_timeout(adoption),
-                state.client_is_connected,
+                lambda: self._frontend.driver.may_start_adoption(state, server),
             )
             if isinstance(result, AttemptEstablished):
                 adoption.established = result
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -107,6 +107,29 @@
     Inside([runner], targets=[{**runner.target(), "uid": "s-other"}]).run(script)
 
 
+@pytest.mark.parametrize("state", ["leaving", "left"])
+@pytest.mark.parametrize("stage", ["pause", "attempt"])
+def test_a_server_that_drains_or_leaves_gets_no_other_attempt(state, stage):
+    runner = Runner("s-0", b"BUSY\r\n" if stage == "pause" else b"")
+    runner.held = stage == "attempt"
+
+    async def script(f):
+        peer = await f.asks(ADOPT)
+        await attempts(f, 1)
+        if stage == "attempt":
+            connection, _ = await offered(f)
+        f.change(runner.target(state=state))
+        if stage == "attempt":
+            connection.sendall(b"BUSY\r\n")
+        assert (await peer.rest()).startswith(b"BUSY")
+        assert result(f) == "server_unavailable"
+        await leaves(peer)
+        await f.gone()
+
+    Inside([runner]).run(script)
+    assert len(runner.first_lines) == 1
+
+
 @pytest.mark.parametrize("leave", ["close", "reset"])
 @pytest.mark.parametrize("stage", ["pause", "attempt", "unlisted"])
 def test_a_client_that_leaves_ends_its_adoption(leave, stage):
