Reject the id of a connection that is being adopted

Two OPENs with one id, the first an adoption in progress, both went into pending_requests: the second to end failed with a KeyError, which was answered ERR. Only ids known to the driver were rejected. Seen by reading; the test test_an_id_that_is_being_adopted_cannot_be_used_again fails on the commit before.

--- a/aspensaddle/frontends/line_protocol/connection_handler.py
+++ b/aspensaddle/frontends/line_protocol/connection_handler.py
@@ -97,7 +97,8 @@
             if slot.first_line_scope.cancelled_caught and not slot.evicted:
                 raise InvalidOpenError("no whole first line in time")
             return None
-        if open_request.request.request_id in self._frontend.driver:
+        request_id = open_request.request.request_id
+        if request_id in self._frontend.driver or request_id in self._frontend.pending_requests:
             raise InvalidOpenError("the id is in use")  # by another request, which goes on
         if link.has_line_starting_with(COMMANDS):
             raise InvalidOpenError("commands that did not wait for an answer")
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -175,6 +175,23 @@
     Inside([runner], targets=targets).run(script)
 
 
+def test_an_id_that_is_being_adopted_cannot_be_used_again():
+    """Guards against two adoptions under one id, of which the second to end failed with a KeyError."""
+    runner = Runner("s-0", b"BUSY\r\n")
+
+    async def script(f):
+        peer = await f.asks(ADOPT)
+        await attempts(f, 1)
+        f.count -= 1
+        again = await f.asks(ADOPT)
+        assert await again.rest() == b"ERR\r\n"
+        await leaves(again)
+        await leaves(peer)
+        await f.gone()
+
+    Inside([runner]).run(script)
+
+
 def test_a_server_that_serves_at_once_answers_the_client():
     runner = Runner("s-0", b"BYE\r\n")
 
