Evict a waiting client only where a descriptor is lacking, and read what it sent first

Cause: ConnectionSlots.hold evicted the oldest waiting connection beyond a fixed share (225 of 1440 descriptors) while no connection was active and two thirds of the descriptors stood empty. It left no log line.

Now all descriptors are lent: a connection is evicted when their sum is used up, one that has sent nothing first, and what has arrived by then is read before it is answered BUSY; a client evicted for lack is closed as soon as it has its answer.

--- a/aspensaddle/frontends/line_protocol/connection_adopter.py
+++ b/aspensaddle/frontends/line_protocol/connection_adopter.py
@@ -133,8 +133,9 @@
         state, server = adoption.state, adoption.server
         assert server is not None
         adoption.attempts += 1
-        started_at = trio.current_time()
         with state.renew_attempt_scope():
+            await self._frontend.slots.wait_for_descriptor()
+            started_at = trio.current_time()
             result = await self._frontend.connector.attempt(
                 server,
                 adoption.open_request.line_for_server,
--- a/aspensaddle/frontends/line_protocol/connection_handler.py
+++ b/aspensaddle/frontends/line_protocol/connection_handler.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
+
 import trio
 
 from aspensaddle.frontends.line_protocol.connection_adopter import ConnectionAdopter
-from aspensaddle.frontends.line_protocol.connection_slots import ConnectionSlot
+from aspensaddle.frontends.line_protocol.connection_slots import ConnectionSlot, ConnectionStage
 from aspensaddle.frontends.line_protocol.errors import ConnectionBrokenError, InvalidOpenError, LineTooLongError
 from aspensaddle.frontends.line_protocol.frontend_state import FrontendState
 from aspensaddle.frontends.line_protocol.link import Link
@@ -41,8 +43,8 @@
             try:
                 end = await self._serve_or_report(link, slot, arrived_at, loop_passes)
                 await self._finish(link, slot, end)
-            except ConnectionBrokenError:
-                pass
+            except ConnectionBrokenError as error:
+                self._record_broken(slot, error)
             finally:
                 link.close()
 
@@ -67,11 +69,12 @@
             self._frontend.log.rate_limited_event("invalid_request", reason=str(error))
             return ConnectionEnd(ERROR)
         if open_request is None:
-            return ConnectionEnd(self._frontend.unavailable_response() if slot.evicted else b"")
+            return self._end_without_request(link, slot)
         self._frontend.counters.add("requests_received")
         link.response_started = False  # a PONG was none to this request
         if reason := self._reject_reason(open_request):
             self._frontend.counters.add(reason)
+            self._frontend.log.rate_limited_event("request_rejected_unplaced", reason=reason, **self._occupancy())
             return ConnectionEnd(self._frontend.unavailable_response())
         self._frontend.slots.activate(slot)
         if open_request.adopted_server is not None:
@@ -90,9 +93,7 @@
             InvalidOpenError: The line is invalid, not allowed now, or late.
             LineTooLongError: The line is too long.
         """
-        open_request: OpenRequest | None = None
-        with slot.first_line_scope:
-            open_request = await self._read_first_line(link)
+        open_request = await self._read_first_line_in_time(link, slot)
         if open_request is None:
             if slot.first_line_scope.cancelled_caught and not slot.evicted:
                 raise InvalidOpenError("no whole first line in time")
@@ -104,6 +105,21 @@
             raise InvalidOpenError("commands that did not wait for an answer")
         return open_request
 
+    async def _read_first_line_in_time(self, link: Link, slot: ConnectionSlot) -> OpenRequest | None:
+        """Return the OPEN; None if the time is over, or the connection ended or was evicted, before it.
+
+        Bytes that had arrived by then count: this process may only have been late in reading them.
+        """
+        while True:
+            with slot.first_line_scope:
+                return await self._read_first_line(link)
+            link.poll()
+            if not (slot.evicted and link.buffered and self._frontend.slots.readmit(slot)):
+                break
+        with trio.CancelScope(deadline=-math.inf):  # reads on in the buffer, and waits for nothing
+            return await self._read_first_line(link)
+        return None
+
     async def _read_first_line(self, link: Link) -> OpenRequest | None:
         """Answer PINGs until the OPEN; return None if the connection ends before it."""
         config = self._frontend.config
@@ -126,6 +142,36 @@
             return "rejected_connection_slots_exhausted"
         return None
 
+    def _end_without_request(self, link: Link, slot: ConnectionSlot) -> ConnectionEnd:
+        """Record why a connection ends before its OPEN; return how."""
+        if not slot.evicted:
+            self._record_early_end("client_closed", link)
+            return ConnectionEnd()
+        reason = "descriptors_exhausted" if self._frontend.accepting_requests else "shutting_down"
+        self._frontend.counters.add(f"connections_evicted_{reason}")
+        self._frontend.log.rate_limited_event(
+            "connection_evicted", reason=reason, bytes_received=link.buffered, **self._occupancy()
+        )
+        return ConnectionEnd(self._frontend.unavailable_response())
+
+    def _record_broken(self, slot: ConnectionSlot, error: ConnectionBrokenError) -> None:
+        """Record a client connection that was reset; after its OPEN the request has its own event."""
+        if slot.stage is ConnectionStage.WAITING:
+            self._record_early_end("client_reset", slot.link)
+        else:
+            self._frontend.counters.add("responses_undelivered")
+            self._frontend.log.rate_limited_event("response_undelivered", reason=str(error))
+
+    def _record_early_end(self, reason: str, link: Link | None) -> None:
+        self._frontend.counters.add(f"connections_ended_before_request_{reason}")
+        self._frontend.log.rate_limited_event(
+            "connection_ended_before_request", reason=reason, bytes_received=link.buffered if link else 0
+        )
+
+    def _occupancy(self) -> dict[str, int]:
+        """Return the connections by stage, for the log."""
+        return {stage.value: self._frontend.slots.count(stage) for stage in ConnectionStage}
+
     async def _finish(self, link: Link, slot: ConnectionSlot, end: ConnectionEnd) -> None:
         """Send the response, end sending, read until the client has ended too, and close.
 
--- a/aspensaddle/frontends/line_protocol/connection_slots.py
+++ b/aspensaddle/frontends/line_protocol/connection_slots.py
@@ -1,10 +1,11 @@
-"""Shares of the file descriptors for client connections, by the stage of each connection.
+"""The file descriptors of client connections, by the stage of each connection.
 
 A connection waits for its first line, is active (from a valid OPEN to the last byte of its response, or of the
 connection it got) or lingers (its response is sent and its sending ended; it is read until the client has ended too).
-Only its own task writes to it or closes it. Waiting and lingering connections have shares and time limits of their
-own and are evicted through a cancel scope, so silent clients, however many, keep out none with a request; an active
-connection is never evicted. See `docs/shutdown.md` for the stages and `docs/descriptors.md` for the sum.
+Only its own task writes to it or closes it. While descriptors are free every connection keeps its own. Once they are
+lacking, waiting connections that have sent nothing are evicted through a cancel scope, the oldest first, so silent
+clients, however many, keep out none with a request; an active connection is never evicted. See `docs/shutdown.md` for
+the stages and `docs/descriptors.md` for the sum.
 """
 
 from __future__ import annotations
@@ -27,6 +28,7 @@
 # From the accept to the end of the first line. The protocol allows a client 3 s from its connect.
 FIRST_LINE_TIMEOUT_SECONDS = 2.0
 LINGER_TIMEOUT_SECONDS = 0.7  # the client's connection must end within a second of its server's
+CLOSING_CHECK_SECONDS = 0.001  # between two looks whether evicted connections have closed
 
 
 class ConnectionStage(Enum):
@@ -46,21 +48,35 @@
         first_line_scope: Limits the wait for the first line.
         linger_scope: Limits the lingering close.
         evicted: It was evicted before its first line arrived.
+        readmitted: An eviction of it was revoked, since bytes had arrived.
     """
 
-    __slots__ = ("evicted", "first_line_scope", "linger_scope", "link", "stage")
+    __slots__ = ("evicted", "first_line_scope", "linger_scope", "link", "readmitted", "stage")
 
-    def __init__(self, link: Link) -> None:
+    def __init__(self, link: Link | None) -> None:
         """Start to wait for the first line."""
         self.link = link
         self.stage = ConnectionStage.WAITING
         self.first_line_scope = trio.CancelScope(deadline=trio.current_time() + FIRST_LINE_TIMEOUT_SECONDS)
         self.linger_scope = trio.CancelScope(shield=True)
         self.evicted = False
+        self.readmitted = False
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether no bytes of the client were read yet."""
+        return self.link is None or not self.link.buffered
 
 
 class ConnectionSlots:
-    """All client connections by stage, and how many each stage may have."""
+    """Knows every client connection, its stage, and how many descriptors are in use.
+
+    Attributes:
+        max_active: Connections that may be active; a request beyond it is rejected.
+        max_waiting: Descriptors that active and lingering connections always leave to waiting ones.
+        max_lingering: Connections that may linger.
+        starting: Connections that are accepted and hold no slot yet.
+    """
 
     def __init__(self, counters: Counters, sockets: int, reserve: int = 0) -> None:
         """Start without connections; for the arguments see `configure`."""
@@ -68,7 +84,9 @@
         self._stages: dict[ConnectionStage, dict[ConnectionSlot, None]] = {
             stage: {} for stage in ConnectionStage
         }  # each the oldest first
+        self._closing: set[ConnectionSlot] = set()  # evicted or aborted, their tasks have yet to close them
         self._evicts_new = False
+        self.starting = 0
         self.configure(sockets, reserve)
 
     def configure(self, sockets: int, reserve: int = 0) -> None:
@@ -79,10 +97,12 @@
             reserve: Descriptors of these kept for other parts of the process.
         """
         available = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - reserve - RESERVED_DESCRIPTORS
-        usable = max(2 + 2 * MIN_STAGE_SHARE, available)
+        self._usable = max(2 + 2 * MIN_STAGE_SHARE, available)
         # Active clients hold at most a third of the descriptors, and each may need one more to its server.
-        self.max_active = max(1, min((available + RESERVED_DESCRIPTORS) // 3, (usable - 2 * MIN_STAGE_SHARE) // 2))
-        remaining = usable - 2 * self.max_active
+        self.max_active = max(
+            1, min((available + RESERVED_DESCRIPTORS) // 3, (self._usable - 2 * MIN_STAGE_SHARE) // 2)
+        )
+        remaining = self._usable - 2 * self.max_active
         self.max_waiting, self.max_lingering = remaining - remaining // 2, remaining // 2
 
     def count(self, stage: ConnectionStage) -> int:
@@ -104,31 +124,43 @@
         """Whether one more request could lack a descriptor to its server."""
         return self.active >= self.max_active
 
-    def may_accept(self, starting: int = 0) -> bool:
-        """Return whether one more connection may be accepted.
+    @property
+    def descriptors(self) -> int:
+        """Descriptors in use; an active connection counts with one to its server."""
+        return self.open + self.active + self.starting
 
-        Evicted connections need a moment to close. `starting` connections are accepted and have no slot yet.
-        """
-        inactive = self.count(ConnectionStage.WAITING) + self.count(ConnectionStage.LINGERING) + starting
-        return inactive < self.max_waiting + self.max_lingering + ACCEPT_BATCH
+    @property
+    def has_closing(self) -> bool:
+        """Whether connections were told to close and have not closed yet."""
+        return bool(self._closing)
+
+    def may_accept(self) -> bool:
+        """Return whether one more connection may be accepted; evicted ones need a moment to close."""
+        return self.descriptors < self._usable + ACCEPT_BATCH
 
     @contextmanager
-    def hold(self, link: Link) -> Iterator[ConnectionSlot]:
+    def hold(self, link: Link | None) -> Iterator[ConnectionSlot]:
         """Hold a slot for a connection from its accept until it is closed."""
         slot = ConnectionSlot(link)
         self._stages[ConnectionStage.WAITING][slot] = None
         if self._evicts_new:
             self._evict(slot)
-        elif self.count(ConnectionStage.WAITING) > self.max_waiting:
-            self.evict_oldest()
+        self._make_room()
         try:
             yield slot
         finally:
             self._stages[slot.stage].pop(slot, None)
+            self._closing.discard(slot)
 
     def activate(self, slot: ConnectionSlot) -> None:
         """Note a valid OPEN: a response is owed."""
         self._enter(slot, ConnectionStage.ACTIVE)
+        self._make_room()
+
+    async def wait_for_descriptor(self) -> None:
+        """Wait until a descriptor to a server is free: what was evicted for it closes in its own task."""
+        while self.descriptors > self._usable + ACCEPT_BATCH and self._closing:
+            await trio.sleep(CLOSING_CHECK_SECONDS)
 
     def linger(self, slot: ConnectionSlot, timeout: float = LINGER_TIMEOUT_SECONDS) -> None:
         """Note that the last byte of the response is sent; the lingering close may take `timeout` seconds."""
@@ -136,22 +168,51 @@
         self._enter(slot, ConnectionStage.LINGERING)
         if self.count(ConnectionStage.LINGERING) > self.max_lingering:
             self.abort_oldest_lingering()
+        self._make_room()
+
+    def readmit(self, slot: ConnectionSlot) -> bool:
+        """Revoke the eviction of a connection whose bytes had arrived, once; return whether it may be read on.
+
+        Another connection is evicted in its place if descriptors are still lacking.
+        """
+        if self._evicts_new or slot.readmitted:
+            return False
+        self._counters.add("evictions_revoked")
+        slot.evicted, slot.readmitted = False, True
+        slot.first_line_scope = trio.CancelScope(deadline=slot.first_line_scope.deadline)
+        self._closing.discard(slot)
+        self._make_room()
+        return True
 
     def _enter(self, slot: ConnectionSlot, stage: ConnectionStage) -> None:
         self._stages[slot.stage].pop(slot, None)
+        self._closing.discard(slot)
         slot.stage = stage
         self._stages[stage][slot] = None
 
+    def _make_room(self) -> None:
+        """Tell connections to close until the descriptors suffice, those first that lose least."""
+        while self.descriptors - len(self._closing) > self._usable:
+            if not (self._abort_evicted_lingering() or self.evict_oldest() or self.abort_oldest_lingering()):
+                return
+
     def _evict(self, slot: ConnectionSlot) -> None:
         if not slot.evicted:
             self._counters.add("connections_evicted")
             slot.evicted = True
             slot.first_line_scope.cancel()
+            self._closing.add(slot)
 
-    def evict_oldest(self) -> None:
-        """Evict the connection that has waited longest for its first line."""
-        if slot := next((s for s in self._stages[ConnectionStage.WAITING] if not s.evicted), None):
-            self._evict(slot)
+    def evict_oldest(self) -> bool:
+        """Evict the connection that has waited longest, a silent one first; return False without any."""
+        slot = next((slot for slot in self._waiting() if slot.is_silent), None) or next(self._waiting(), None)
+        if slot is None:
+            return False
+        self._evict(slot)
+        return True
+
+    def _waiting(self) -> Iterator[ConnectionSlot]:
+        return (slot for slot in self._stages[ConnectionStage.WAITING] if not slot.evicted)
 
     def evict_all_waiting(self) -> None:
         """Evict all waiting connections, and those accepted from now on: the process shuts down."""
@@ -159,13 +220,25 @@
         for slot in list(self._stages[ConnectionStage.WAITING]):
             self._evict(slot)
 
-    def abort_oldest_lingering(self) -> None:
-        """Close the connection that has lingered longest."""
-        if slot := next(
-            (s for s in self._stages[ConnectionStage.LINGERING] if not s.linger_scope.cancel_called), None
-        ):
-            self._counters.add("lingering_closes_aborted")
-            slot.linger_scope.cancel()
+    def _abort_evicted_lingering(self) -> bool:
+        """Close a connection that was evicted and has its response; return False without any."""
+        return self._abort_first(slot for slot in self._lingering() if slot.evicted)
+
+    def abort_oldest_lingering(self) -> bool:
+        """Close the connection that has lingered longest; return False without any."""
+        return self._abort_first(self._lingering())
+
+    def _lingering(self) -> Iterator[ConnectionSlot]:
+        return (slot for slot in self._stages[ConnectionStage.LINGERING] if not slot.linger_scope.cancel_called)
+
+    def _abort_first(self, slots: Iterator[ConnectionSlot]) -> bool:
+        slot = next(slots, None)
+        if slot is None:
+            return False
+        self._counters.add("lingering_closes_aborted")
+        self._closing.add(slot)
+        slot.linger_scope.cancel()
+        return True
 
     def abort_all_lingering(self) -> None:
         """Close all lingering connections."""
@@ -174,6 +247,5 @@
 
     def free_descriptor(self) -> None:
         """Close a connection that is not active, since an accept found no descriptor."""
-        self.abort_oldest_lingering()
-        if not self.count(ConnectionStage.LINGERING):
+        if not self.abort_oldest_lingering():
             self.evict_oldest()
--- a/aspensaddle/frontends/line_protocol/listener.py
+++ b/aspensaddle/frontends/line_protocol/listener.py
@@ -20,7 +20,6 @@
     def __init__(self, frontend: FrontendState, handler: ConnectionHandler) -> None:
         """Accept connections for `handler`."""
         self._frontend, self._handler = frontend, handler
-        self._starting = 0  # connections that are accepted and whose tasks have not begun
 
     async def serve(self, listener: Listener, nursery: trio.Nursery) -> None:
         """Accept connections until cancelled, also once the listener is closed."""
@@ -40,8 +39,9 @@
         """Accept what has arrived, at most one batch; return False if a descriptor was lacking."""
         slots, counters, lag = self._frontend.slots, self._frontend.counters, self._frontend.event_loop_lag
         for _ in range(ACCEPT_BATCH):
-            if not slots.may_accept(self._starting):
-                slots.free_descriptor()
+            if not slots.may_accept():
+                if not slots.has_closing:
+                    slots.free_descriptor()
                 return False
             try:
                 stream = listener.accept()
@@ -52,10 +52,10 @@
             if stream is None:
                 break
             counters.add("connections")
-            self._starting += 1
+            slots.starting += 1
             nursery.start_soon(self._handle, stream, lag.since, lag.passes)
         return True
 
     async def _handle(self, stream: trio.SocketStream, arrived_at: float, loop_passes: int) -> None:
-        self._starting -= 1
+        self._frontend.slots.starting -= 1
         await self._handler.handle(stream, arrived_at, loop_passes)
--- a/aspensaddle/frontends/line_protocol/request_lifecycle.py
+++ b/aspensaddle/frontends/line_protocol/request_lifecycle.py
@@ -108,11 +108,13 @@
     async def _attempt_at_server(
         self, placement: _Placement, start: StartAttempt
     ) -> AttemptEstablished | AttemptFailed:
+        deadline = trio.current_time() + start.timeout
         with placement.state.attempt_scope:
+            await self._frontend.slots.wait_for_descriptor()
             return await self._frontend.connector.attempt(
                 start.server,
                 placement.open_request.line_for_server,
-                start.timeout,
+                deadline - trio.current_time(),
                 lambda: self._frontend.driver.may_start_attempt(start.request_id),
             )
         return AttemptFailed(Outcome.CANCELLED)
