Count what a server still holds when it returns to the endpoint list

Callers saw: a server that was missing from one list and came back got far more than its part.

Cause: membership made a new record for a server that returned, with no load, while its connections went on and were accounted to the old record. The new one takes over what the old one holds, and the requests point to it.

The same fault elsewhere: a connection that ended at a server outside the list was taken off the total load, which the last layout had computed without it (20 in place of 30 in the second test). recount leaves the total alone there.

--- a/aspensaddle/core/load_accounting.py
+++ b/aspensaddle/core/load_accounting.py
@@ -34,6 +34,7 @@
 
     def _change(self, server: Server, request: RequestState, sign: int) -> None:
         self._state.tenant_quotas.count(request.request.tenant, sign)
+        server.request_count += sign
         if request.load is None:
             server.connections_of_unknown_load += sign
         else:
@@ -49,7 +50,8 @@
         """Weigh a server anew, after its connections, a report or the mean load changed."""
         before = server.load
         server.load = self.weigh(server)
-        self._state.total_load += server.load - before
+        if server.id in self._state.servers:  # the total of the last layout has no other
+            self._state.total_load += server.load - before
         if server.share:
             for pool in self._state.pools_of(server):
                 pool.load += (server.load - before) * server.is_available
--- a/aspensaddle/core/membership.py
+++ b/aspensaddle/core/membership.py
@@ -22,6 +22,7 @@
         self._state = state
         self._rotation = rotation
         self._failed_watches = 0
+        self._departed: dict[int, Server] = {}  # left the list and still hold attempts or connections
 
     def first_watch(self) -> SetTimer:
         """Return the timer of the first watch, spread so that balancers do not start theirs together."""
@@ -41,9 +42,11 @@
     def update(self, now: float, event: EndpointsChanged) -> bool:
         """Take an update of the endpoint list; return whether servers joined, left or changed their state."""
         self._failed_watches = 0
+        self._departed = {number: server for number, server in self._departed.items() if server.request_count}
         changed = self._remove_unlisted(event) + [
             server for endpoint in event.endpoints if (server := self._update_server(endpoint))
         ]
+        self._point_requests_to_returned()
         if changed:
             self._reset(now, changed)
         self._rotation.needs_layout = True
@@ -54,21 +57,47 @@
         """Remove the servers that a complete list does not name."""
         if event.scope is EndpointUpdateScope.INCREMENTAL:
             return []
-        servers = self._state.servers
         listed = {endpoint.server for endpoint in event.endpoints}
-        return [servers.pop(number) for number in list(servers) if number not in listed]
+        return [self._remove(number) for number in list(self._state.servers) if number not in listed]
+
+    def _remove(self, number: int) -> Server:
+        """Remove a server; memory is bounded by the servers that are listed and those that hold requests."""
+        server = self._state.servers.pop(number)
+        if server.request_count:
+            self._departed[number] = server
+        return server
+
+    def _add(self, endpoint: Endpoint) -> Server:
+        """Add a server; one that returns still holds the attempts and connections that it had."""
+        server = Server(endpoint, self._state.random.random())
+        self._state.servers[endpoint.server] = server
+        departed = self._departed.get(endpoint.server)
+        if departed is not None:
+            server.take_requests_from(departed)
+        return server
+
+    def _point_requests_to_returned(self) -> None:
+        """Let the requests at servers that have returned refer to their new records."""
+        returned = self._departed.keys() & self._state.servers.keys()
+        if not returned:
+            return
+        for request in self._state.requests.values():
+            if request.server is not None and request.server.id in returned:
+                request.server = self._state.servers[request.server.id]
+        for number in returned:
+            del self._departed[number]
 
     def _update_server(self, endpoint: Endpoint) -> Server | None:
         """Take one endpoint; return its server if that joined, left, restarted or changed its state."""
         servers = self._state.servers
         server = servers.get(endpoint.server)
         if server is None:
-            server = servers[endpoint.server] = Server(endpoint, self._state.random.random())
+            server = self._add(endpoint)
         is_ready = endpoint.state is ServerState.READY
         changed = endpoint.started_at != server.started_at or is_ready != server.is_ready
         server.update(endpoint, self._state.settings.core_speeds)
         if endpoint.state is ServerState.GONE:
-            del servers[endpoint.server]  # bounds memory by the servers that are listed
+            self._remove(endpoint.server)
         return server if changed else None
 
     def _reset(self, now: float, changed: list[Server]) -> None:
--- a/aspensaddle/core/server_state.py
+++ b/aspensaddle/core/server_state.py
@@ -47,6 +47,7 @@
         self.load = 0.0  # the same, or by reports that of all balancers
         self.session_groups = Counter[int]()  # of connections and attempts
         self.connections: dict[str, RequestState] = {}  # established and not asked to migrate, by request id
+        self.request_count = 0  # attempts and connections that it holds
         self.last_attempt_at = 0.0
 
     def update(self, endpoint: Endpoint, core_speeds: tuple[float, ...]) -> None:
@@ -56,3 +57,13 @@
             self.weight *= core_speeds[endpoint.machine_type]
         self.started_at = endpoint.started_at
         self.is_ready = endpoint.state is ServerState.READY
+
+    def take_requests_from(self, departed: Server) -> None:
+        """Hold what an earlier record of this server holds, which is not used any more."""
+        self.known_load = departed.known_load
+        self.connections_of_unknown_load = departed.connections_of_unknown_load
+        self.own_load = departed.own_load
+        self.load = departed.own_load
+        self.session_groups = departed.session_groups
+        self.connections = departed.connections
+        self.request_count = departed.request_count
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -48,6 +49,41 @@
     harness.tick()
 
 
+@pytest.mark.parametrize("scope", [EndpointUpdateScope.COMPLETE, EndpointUpdateScope.INCREMENTAL])
+def test_server_that_leaves_the_list_and_returns_gets_no_more_than_its_part(scope):
+    """Guards against a server that looks empty when it returns, since the connections that it holds were forgotten."""
+    harness = BalancerHarness(8)
+    sends = [harness.place() for _ in range(80)]
+    servers = [entry(n) for n in range(1, 9)]
+    for with_first in (False, True):
+        if scope is EndpointUpdateScope.COMPLETE:
+            harness.update_endpoints(*servers[not with_first :], scope=scope)
+        else:
+            harness.update_endpoints(entry(1, state=ServerState.READY if with_first else ServerState.GONE))
+        harness.tick()
+    later = [harness.place() for _ in range(24)]
+    held = Counter(send.server for send in sends + later)
+    assert max(held.values()) <= 15 and 2 <= sum(send.server == 1 for send in later) <= 6, held
+    for send in sends + later:
+        harness.end(send, finished=True)
+    harness.tick()
+    assert not any(server.load or server.request_count for server in harness.balancer.servers.values())
+    assert harness.balancer.state.total_load == pytest.approx(0.0)
+
+
+def test_connections_that_end_at_a_server_that_left_are_not_taken_off_the_others():
+    """Guards against a total load that falls below what the listed servers carry."""
+    harness = BalancerHarness(4)
+    sends = [harness.place() for _ in range(40)]
+    harness.gone(1)
+    harness.tick()
+    for send in sends:
+        if send.server == 1:
+            harness.end(send, finished=True)
+    held = sum(server.load for server in harness.balancer.servers.values())
+    assert harness.balancer.state.total_load == pytest.approx(held) and held == pytest.approx(30.0)
+
+
 @pytest.mark.parametrize("count", [1, 2, MANY_BALANCERS, 100])
 def test_every_request_is_answered_while_lists_empty_shrink_grow_and_repeat(count):
     settings = replace(SETTINGS, balancer_count=count)
