Make no second call to discovery beside one that may wait its turn

Cause: a call without an answer for 1.5 s got a second one beside it. The service was only serving others: the second took a turn of its own, or its 503 ended the first as well, so the queue stayed full (metastable overload).

First calls were answered at 2.9 to 3.0 s of age, their seconds at 1.4 to 1.5, both at one moment.

Second half: 32 balancers at 0.2 s a call need 6.4 s in any case, so fewer calls alone cannot keep the 6 s. Discovery that is down is told apart from discovery that is crowded, in log and counters, and an outage confirms the list.

--- a/aspensaddle/core/actions.py
+++ b/aspensaddle/core/actions.py
@@ -16,6 +16,7 @@
     SLOW_START_LIMIT = "slow_start_limit"  # only servers that are warming up were left, and their limit is reached
     AFFINITY_SERVER_WARMING_UP = "affinity_server_warming_up"  # the preferred server has reached its limit
     NO_AVAILABLE_SERVER = "no_available_server"  # no server is ready, has capacity and may be sent this
+    ENDPOINTS_UNCONFIRMED = "endpoints_unconfirmed"  # the list could not be refreshed for too long
     ATTEMPTS_EXHAUSTED = "attempts_exhausted"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     SHUTTING_DOWN = "shutting_down"
--- a/aspensaddle/core/balancer.py
+++ b/aspensaddle/core/balancer.py
@@ -17,6 +17,7 @@
     ConnectionAdopted,
     ConnectionEstablished,
     ConnectionLoadReported,
+    EndpointListConfirmed,
     EndpointsChanged,
     EndpointUpdateScope,
     Event,
@@ -71,6 +72,7 @@
             Started: self._started,
             TimerFired: self._timer_fired,
             EndpointsChanged: self._endpoints_changed,
+            EndpointListConfirmed: self._endpoint_list_confirmed,
             Request: self._request,
             ConnectionAdopted: self._connection_adopted,
             ConnectionEstablished: self._connection_established,
@@ -91,6 +93,11 @@
         """The requests in progress and the open connections, by request id."""
         return self.state.requests
 
+    def is_confirmed(self, now: float, server: int) -> bool:
+        """Return whether the state of a listed server is known recently enough for an attempt."""
+        record = self.state.servers.get(server)
+        return record is not None and self.state.is_confirmed(now, record)
+
     def configure(self, settings: Settings) -> None:
         """Use other settings from now on. Classes and zones keep their numbers."""
         self.state.configure(settings)
@@ -136,6 +143,10 @@
             self.latency_outliers.survey(now)
         return [*self.health_checks.due(now)]
 
+    def _endpoint_list_confirmed(self, now: float, event: EndpointListConfirmed) -> list[Action]:
+        self.state.endpoint_confirmation.confirm_list(now)
+        return []
+
     # ------------------------------------------------------------ requests
 
     def _request(self, now: float, event: Request) -> list[Action]:
@@ -202,6 +213,7 @@
     def _accept(self, now: float, request: RequestState, server: Server, latency: float) -> None:
         request.is_established = True
         request.established_at = now
+        server.accepted_at = request.attempt_sent_at
         self.outlier_ejection.attempt_accepted(now, server)
         objective = self.state.settings.classes[request.request.class_index].latency_objective
         self.passive_measurement.count(server, accepted=latency <= objective)
--- a/aspensaddle/core/balancer_state.py
+++ b/aspensaddle/core/balancer_state.py
@@ -7,6 +7,7 @@
 from aspensaddle.core.affinity import SessionGroups
 from aspensaddle.core.attempt_window import SLOT_SECONDS, WINDOW_SLOTS
 from aspensaddle.core.capacity_shortage import CapacityShortage
+from aspensaddle.core.endpoint_confirmation import EndpointConfirmation
 from aspensaddle.core.load_reports import uses_load_reports
 from aspensaddle.core.request_rate import RequestRate
 from aspensaddle.core.request_state import RequestState
@@ -35,6 +36,7 @@
         self.session_groups = SessionGroups()
         self.request_rate = RequestRate(WINDOW_SLOTS * SLOT_SECONDS)
         self.shortage = CapacityShortage()
+        self.endpoint_confirmation = EndpointConfirmation()
         # Pools.
         self.local_pool = ServerPool()
         self.fleet_pool = ServerPool()
@@ -78,6 +80,10 @@
             return (self.local_pool, self.fleet_pool)
         return (self.fleet_pool,)
 
+    def is_confirmed(self, now: float, server: Server) -> bool:
+        """Return whether the state of a server is known recently enough for an attempt."""
+        return self.endpoint_confirmation.is_confirmed(now, server, self.rules.drain_grace)
+
     def capacity_fraction(self, now: float, server: Server) -> float:
         """Return the least fraction of its capacity that a server has by now."""
         return self.rules.capacity_fraction(now - server.started_at) if server.started_at else 1.0
--- a/aspensaddle/core/driver.py
+++ b/aspensaddle/core/driver.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from aspensaddle.core.actions import (
     Action,
@@ -21,6 +20,7 @@
     StartAttempt,
     WatchEndpoints,
 )
+from aspensaddle.core.active_request import ActiveRequest
 from aspensaddle.core.balancer import Balancer
 from aspensaddle.core.clock import unix_clock
 from aspensaddle.core.events import (
@@ -30,6 +30,7 @@
     ConnectionEstablished,
     ConnectionLoadReported,
     Endpoint,
+    EndpointListConfirmed,
     EndpointsChanged,
     EndpointUpdateScope,
     Event,
@@ -52,20 +53,6 @@
 DEADLINE_TOLERANCE_SECONDS = 0.001  # an attempt that ends this close before the deadline ended at it
 
 
-@dataclass(slots=True)
-class _ActiveRequest:
-    """A request in progress, or the connection that came of it."""
-
-    handler: RequestHandler
-    class_index: int
-    deadline: float
-    attempt: int = -1
-    server: int = -1
-    attempt_started_at: float = 0.0
-    first_byte_sent: bool = False  # the current attempt may have sent its first byte
-    possibly_executed_at: float | None = None  # start of the first attempt that may have been executed
-
-
 class Driver:
     """Connects one `Balancer` to front ends, discovery and the process."""
 
@@ -83,7 +70,7 @@
         self._clock = clock or unix_clock()
         self._last_now = 0.0
         self._timers = TimerQueue()
-        self._requests: dict[str, _ActiveRequest] = {}
+        self._requests: dict[str, ActiveRequest] = {}
         self._ready_servers: set[int] = set()
         self._attempts_end_at = float("inf")
         self._slow_responses = SlowResponseDetector(settings)
@@ -130,6 +117,10 @@
                     self._ready_servers.discard(endpoint.server)
         self._handle(EndpointsChanged(scope, endpoints))
 
+    def endpoint_list_confirmed(self) -> None:
+        """Note that the list is current, or that the discovery service cannot be reached."""
+        self._handle(EndpointListConfirmed())
+
     # ------------------------------------------------------------ requests
 
     def __contains__(self, request_id: str) -> bool:
@@ -139,7 +130,7 @@
     def submit(self, handler: RequestHandler, request: Request) -> None:
         """Place a request. Its id must not be in use."""
         now = self.now()
-        self._requests[request.request_id] = _ActiveRequest(handler, request.class_index, now + request.time_left)
+        self._requests[request.request_id] = ActiveRequest(handler, request.class_index, now + request.time_left)
         self._handle(request, now)
 
     def may_start_attempt(self, request_id: str) -> bool:
@@ -151,7 +142,7 @@
         """
         active = self._requests.get(request_id)
         now = self.now()
-        if active is None or active.server not in self._ready_servers:
+        if active is None or not self._may_be_sent(now, active.server):
             return False
         if now >= min(active.deadline, self._attempts_end_at):
             return False
@@ -168,7 +159,13 @@
 
     def may_start_adoption(self, handler: RequestHandler, server: int) -> bool:
         """Return whether an attempt to adopt a connection may send its first byte, which is then done at once."""
-        return self.is_ready(server) and self.now() < self._attempts_end_at and handler.client_is_connected()
+        now = self.now()
+        if now >= self._attempts_end_at or not self._may_be_sent(now, server):
+            return False
+        return handler.client_is_connected()
+
+    def _may_be_sent(self, now: float, server: int) -> bool:
+        return self.is_ready(server) and self.balancer.is_confirmed(now, server)
 
     def stop_attempts_after(self, seconds: float) -> None:
         """Start no attempt later than this: the process shuts down."""
@@ -193,7 +190,7 @@
 
     def connection_adopted(self, handler: RequestHandler, request: Request, server: int) -> None:
         """Take over a connection that was open before this process started."""
-        self._requests[request.request_id] = _ActiveRequest(handler, request.class_index, float("inf"), 0, server)
+        self._requests[request.request_id] = ActiveRequest(handler, request.class_index, float("inf"), 0, server)
         self._handle(ConnectionAdopted(request, server))
 
     def connection_established(self, request_id: str) -> None:
--- a/aspensaddle/core/events.py
+++ b/aspensaddle/core/events.py
@@ -75,6 +75,11 @@
     """The balancer starts. Always the first event."""
 
 
+@dataclass(slots=True)
+class EndpointListConfirmed:
+    """The endpoint list is current, or the discovery service cannot be reached."""
+
+
 @dataclass(slots=True)
 class EndpointsChanged:
     """The endpoint list changed, or could not be had."""
@@ -178,6 +183,7 @@
 Event: TypeAlias = (
     Started
     | EndpointsChanged
+    | EndpointListConfirmed
     | Request
     | ConnectionAdopted
     | ConnectionEstablished
--- a/aspensaddle/core/server_selection.py
+++ b/aspensaddle/core/server_selection.py
@@ -5,7 +5,7 @@
 2. The same among all servers. Groups with preferred servers by the endpoint list begin here.
 3. By turn, slow servers too; then ejected servers and those that were tried.
 
-Every server has to pass `may_attempt`: the retry policy, slow start and the utilization limit.
+Every server has to pass `may_attempt`: endpoint confirmation, the retry policy, slow start and the utilization limit.
 """
 
 from __future__ import annotations
@@ -63,7 +63,10 @@
         return None
 
     def may_attempt(self, now: float, request: RequestState, server: Server) -> bool:
-        """Return whether a server may be attempted: no second effect, within slow start and its capacity."""
+        """Return whether a server may be attempted: its state is known, no second effect, within its capacity."""
+        if not self._state.is_confirmed(now, server):
+            request.no_server_reason = RejectReason.ENDPOINTS_UNCONFIRMED
+            return False
         request_class = self._state.settings.classes[request.request.class_index]
         if not may_retry_on(now, request, request_class, server):
             return False
--- a/aspensaddle/core/server_state.py
+++ b/aspensaddle/core/server_state.py
@@ -49,6 +49,7 @@
         self.connections: dict[str, RequestState] = {}  # established and not asked to migrate, by request id
         self.request_count = 0  # attempts and connections that it holds
         self.last_attempt_at = 0.0
+        self.accepted_at = 0.0  # start of the last attempt that it accepted
 
     def update(self, endpoint: Endpoint, core_speeds: tuple[float, ...]) -> None:
         """Take weight, start and state from the list; zone and cell stay."""
--- a/aspensaddle/daemon/service.py
+++ b/aspensaddle/daemon/service.py
@@ -85,6 +85,7 @@
             self._log,
             config.seed,
             is_local_agent=not config.settings.polls_discovery,
+            balancer_count=config.settings.balancer_count,
         )
         watcher.revision = config.known.revision
         return watcher
@@ -212,6 +213,8 @@
         """Put a configuration into force, part by part. Established connections are not touched."""
         old, self._config = self._config, config
         self._driver.configure(config.settings)
+        if isinstance(self._endpoint_source, EndpointWatcher):
+            self._endpoint_source.balancer_count = config.settings.balancer_count
         self._frontend.configure(_line_protocol_settings(config))
         if config.discovery is not None and config.discovery != old.discovery:
             self._change_discovery_address(config)
--- a/aspensaddle/discovery/errors.py
+++ b/aspensaddle/discovery/errors.py
@@ -2,9 +2,28 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
+
+class FailureReason(Enum):
+    """Why a call failed, as the log and the counters name it."""
+
+    UNREACHABLE = "unreachable"  # the connection was not established: the service is down or cut off
+    REJECTED = "rejected"  # the service answers and is down, or has more calls than it serves
+    CONNECTION_LOST = "connection_lost"
+    SILENT = "silent"
+    INVALID_RESPONSE = "invalid_response"
+    INTERNAL_ERROR = "internal_error"  # a fault of this program
+
 
 class DiscoveryError(Exception):
-    """A discovery call failed or its watch broke."""
+    """A discovery call failed or its watch broke.
+
+    Attributes:
+        failure_reason: Why.
+    """
+
+    failure_reason = FailureReason.INVALID_RESPONSE
 
 
 class DiscoveryConnectionError(DiscoveryError):
@@ -12,11 +31,14 @@
 
     Attributes:
         reason: What the system reported.
+        was_connected: Whether it had been established.
     """
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, *, was_connected: bool) -> None:
         super().__init__(reason or "the connection broke")
         self.reason = reason
+        self.was_connected = was_connected
+        self.failure_reason = FailureReason.CONNECTION_LOST if was_connected else FailureReason.UNREACHABLE
 
 
 class ConnectTimeoutError(DiscoveryError):
@@ -26,6 +48,8 @@
         timeout_seconds: How long it was waited for.
     """
 
+    failure_reason = FailureReason.UNREACHABLE
+
     def __init__(self, timeout_seconds: float) -> None:
         super().__init__(f"the connection was not established within {timeout_seconds} s")
         self.timeout_seconds = timeout_seconds
@@ -34,6 +58,8 @@
 class WatchTimeoutError(DiscoveryError):
     """No complete value and no heartbeat arrived in time."""
 
+    failure_reason = FailureReason.SILENT
+
     def __init__(self) -> None:
         super().__init__("no complete line arrived in time")
 
@@ -45,6 +71,8 @@
         status: The HTTP status.
     """
 
+    failure_reason = FailureReason.REJECTED
+
     def __init__(self, status: int) -> None:
         super().__init__(f"status {status}")
         self.status = status
--- a/aspensaddle/discovery/watch_call.py
+++ b/aspensaddle/discovery/watch_call.py
@@ -4,11 +4,17 @@
 
 import os
 from collections.abc import Callable
+from enum import Enum
 
 import trio
 
 from aspensaddle.discovery import watch_policy
-from aspensaddle.discovery.errors import ConnectTimeoutError, DiscoveryConnectionError, WatchTimeoutError
+from aspensaddle.discovery.errors import (
+    ConnectTimeoutError,
+    DiscoveryConnectionError,
+    FailureReason,
+    WatchTimeoutError,
+)
 from aspensaddle.discovery.json_stream import JsonStreamDecoder
 from aspensaddle.support.address import Address
 from aspensaddle.support.sockets import connect
@@ -16,6 +22,14 @@
 READ_BYTES = 65536
 
 
+class CallStage(Enum):
+    """How far a call has come."""
+
+    CONNECTING = "connecting"
+    WAITING = "waiting"  # connected, without a complete line yet
+    FOLLOWED = "followed"
+
+
 class WatchCall:
     """One call that is in flight.
 
@@ -23,18 +37,34 @@
         target: The path and query of the request.
         updates_seen: How many updates the watcher had applied when the call began, or when it last gave one.
         scope: Cancels the call.
+        started_at: Time at which the call began.
+        connected: Whether its connection was established.
         answered: Set with the first complete line, or when the call ends without one.
         followed_since: Time of the first complete line; None before it.
-        timed_out: Whether the call ended because nothing arrived in time.
+        failure: Why the call failed; None while it goes on, or if it ended otherwise.
     """
 
     def __init__(self, target: str, updates_seen: int) -> None:
         self.target = target
         self.updates_seen = updates_seen
         self.scope = trio.CancelScope()
+        self.started_at = trio.current_time()
+        self.connected = False
         self.answered = trio.Event()
         self.followed_since: float | None = None
-        self.timed_out = False
+        self.failure: FailureReason | None = None
+
+    @property
+    def age(self) -> float:
+        """Seconds since the call began."""
+        return trio.current_time() - self.started_at
+
+    @property
+    def stage(self) -> CallStage:
+        """How far the call has come."""
+        if self.followed_since is not None:
+            return CallStage.FOLLOWED
+        return CallStage.WAITING if self.connected else CallStage.CONNECTING
 
     def was_followed(self) -> bool:
         """Whether the call lived beyond its first heartbeat, which a rejected or failed one does not."""
@@ -53,6 +83,7 @@
         stream = None
         try:
             stream = await _connect(address)
+            self.connected = True
             await stream.send_all(decoder.request())
             while not decoder.complete:
                 data = await _receive(stream, deadline)
@@ -60,7 +91,7 @@
                     on_value(value)
                     deadline = trio.current_time() + watch_policy.SILENCE_TIMEOUT_SECONDS
         except (OSError, trio.BrokenResourceError) as error:
-            raise DiscoveryConnectionError(str(error)) from None
+            raise DiscoveryConnectionError(str(error), was_connected=self.connected) from None
         finally:
             if stream is not None:
                 stream.socket.close()
--- a/aspensaddle/discovery/watch_policy.py
+++ b/aspensaddle/discovery/watch_policy.py
@@ -13,11 +13,13 @@
 SILENCE_TIMEOUT_SECONDS = HEARTBEAT_SECONDS + 0.5  # without a complete line
 CONNECT_TIMEOUT_SECONDS = 0.5
 HEDGE_DELAY_SECONDS = 1.5  # a call without a complete line by then gets a second one beside it
+MAX_HEDGING_BALANCERS = 6  # a service that takes 0.25 s for a call serves so many within the hedge delay
 RESPONSE_TIMEOUT_SECONDS = 3.5  # the service may queue a call
 QUEUED_RESPONSE_SECONDS = 1.0  # longest queueing of a call that neither hangs nor is behind too many others
 START_JITTER_SECONDS = 2.0  # spread of the first calls where all balancers ask one service
 INITIAL_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 2.0
+MAX_FLEET_RETRIES_PER_SECOND = 40.0  # of all balancers together, while the service rejects calls
 
 # For this long after a change of the address backoff stays short; what a new address has counts as known after it.
 RELOCATION_SECONDS = 4.0
@@ -66,6 +68,24 @@
     return random.uniform(longest / 2, longest)
 
 
+def may_hedge(balancer_count: int, *, is_local_agent: bool) -> bool:
+    """Return whether a call without an answer must have been lost, since few other calls can be before it."""
+    return not is_local_agent and balancer_count <= MAX_HEDGING_BALANCERS
+
+
+def rejected_delay(failures: int, random: Random, *, balancer_count: int) -> float:
+    """Return the delay after a call that the service rejected: exponential backoff with full jitter.
+
+    Args:
+        failures: Failed calls in a row, this one included.
+        random: Source of the jitter.
+        balancer_count: Balancers that share the service; its limit on retries is divided among them.
+    """
+    limit = max(MAX_BACKOFF_SECONDS, 2 * balancer_count / MAX_FLEET_RETRIES_PER_SECOND)
+    doublings = min(max(0, failures - 1), _MAX_BACKOFF_DOUBLINGS)
+    return random.uniform(0.0, min(limit, INITIAL_BACKOFF_SECONDS * 2**doublings))
+
+
 def reconnect_delay(random: Random, *, timed_out: bool) -> float:
     """Return the delay after a watch that was followed and ended.
 
--- a/aspensaddle/discovery/watcher.py
+++ b/aspensaddle/discovery/watcher.py
@@ -22,7 +22,7 @@
 from aspensaddle.discovery import watch_policy
 from aspensaddle.discovery.endpoint_registry import EndpointRegistry
 from aspensaddle.discovery.endpoint_update import EndpointListUpdate, parse_endpoint_list
-from aspensaddle.discovery.errors import DiscoveryError, WatchTimeoutError
+from aspensaddle.discovery.errors import DiscoveryError, FailureReason
 from aspensaddle.discovery.watch_call import WatchCall
 from aspensaddle.support.address import Address
 from aspensaddle.support.counters import Counters
@@ -51,6 +51,7 @@
         revision: The version of the list that was applied last, from which the next watch continues.
         is_local_agent: Whether the service is an agent of this balancer alone, which answers at once and costs
             nothing to ask.
+        balancer_count: Balancers that share the service, this one included.
     """
 
     def __init__(
@@ -62,8 +63,10 @@
         log: Log,
         seed: int = 0,
         is_local_agent: bool = False,
+        balancer_count: int = 1,
     ) -> None:
         self.is_local_agent = is_local_agent
+        self.balancer_count = balancer_count
         self.state = WatchState.STOPPED
         self.revision = 0
         self._address = address
@@ -96,6 +99,7 @@
 
     async def start(self) -> None:
         """Watch after a delay that spreads the first calls of balancers that start together."""
+        self._confirm()
         await trio.sleep(watch_policy.start_delay(self._random, is_local_agent=self.is_local_agent))
         await self.watch()
 
@@ -110,18 +114,27 @@
             self.state = WatchState.STOPPED
 
     async def _watch_forever(self) -> None:
-        failures = 0
+        failures: list[FailureReason] = []  # of the calls that failed in a row
         while True:
             self._address_changed = trio.Event()
             self.state = WatchState.CONNECTING
-            reconnect_delay = await self._follow_one_watch()
-            was_successful = reconnect_delay is not None or self._address_changed.is_set()
-            failures = 0 if was_successful else failures + 1
+            was_rejected = failures[-1:] == [FailureReason.REJECTED]
+            ended = await self._follow_one_watch(may_hedge=not was_rejected)
+            if ended.was_followed() or self._address_changed.is_set():
+                failures.clear()
+            else:
+                failures.append(ended.failure or FailureReason.CONNECTION_LOST)
             self.state = WatchState.BACKING_OFF
-            delay = self._backoff_delay(failures) if reconnect_delay is None else reconnect_delay
-            with trio.move_on_after(delay):
+            with trio.move_on_after(self._reconnect_delay(ended, failures)):
                 await self._address_changed.wait()
 
+    def _reconnect_delay(self, ended: WatchCall, failures: list[FailureReason]) -> float:
+        if ended.was_followed():
+            return watch_policy.reconnect_delay(self._random, timed_out=ended.failure is FailureReason.SILENT)
+        if failures[-1:] == [FailureReason.REJECTED] and not self.is_local_agent:
+            return watch_policy.rejected_delay(len(failures), self._random, balancer_count=self.balancer_count)
+        return self._backoff_delay(len(failures))
+
     def _backoff_delay(self, failures: int) -> float:
         relocation_ends = self._address_changed_at + watch_policy.RELOCATION_SECONDS
         return watch_policy.backoff_delay(
@@ -131,30 +144,23 @@
             is_relocating=trio.current_time() < relocation_ends,
         )
 
-    async def _follow_one_watch(self) -> float | None:
-        """Open a watch and follow it to its end.
-
-        A call that gives no complete line in time gets a second one beside it; the first to answer is followed.
+    async def _follow_one_watch(self, *, may_hedge: bool) -> WatchCall:
+        """Open a watch, follow it to its end and return the call that was followed, or the last that failed.
 
-        Returns:
-            The seconds until the next watch, or None if this one was never followed.
+        A call that hangs gets a second one beside it, the first to answer is followed. One that may only wait for its
+        turn does not: a second call would be served in a turn of its own, and delay all others.
         """
-        first = self._new_call()
-        calls = [first]
+        calls = [self._new_call()]
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._run_call, first)
-            with trio.move_on_after(watch_policy.HEDGE_DELAY_SECONDS):
-                await first.answered.wait()
-            if not first.answered.is_set() and not self.is_local_agent:
-                self._counters.add("discovery_calls_hedged")
-                second = self._new_call()
-                calls.append(second)
-                nursery.start_soon(self._run_call, second)
-                await second.answered.wait()
-        for call in calls:
-            if call.was_followed():
-                return watch_policy.reconnect_delay(self._random, timed_out=call.timed_out)
-        return None
+            nursery.start_soon(self._run_call, calls[0])
+            if may_hedge and watch_policy.may_hedge(self.balancer_count, is_local_agent=self.is_local_agent):
+                with trio.move_on_after(watch_policy.HEDGE_DELAY_SECONDS):
+                    await calls[0].answered.wait()
+                if not calls[0].answered.is_set():
+                    self._counters.add("discovery_calls_hedged")
+                    calls.append(self._new_call())
+                    nursery.start_soon(self._run_call, calls[1])
+        return next((call for call in calls if call.was_followed()), calls[-1])
 
     def _new_call(self) -> WatchCall:
         return WatchCall(f"{DISCOVERY_PATH}?watch=1&from={self.revision}", self._updates_applied)
@@ -178,15 +184,31 @@
             call.answered.set()
 
     def _record_failure(self, call: WatchCall, error: Exception) -> None:
-        call.timed_out = isinstance(error, WatchTimeoutError)
+        call.failure = _failure_reason(error)
+        if call.failure is FailureReason.UNREACHABLE:
+            self._confirm()  # nothing counts as told while the service cannot be reached
         self._counters.add("discovery_calls_failed")
-        self._log.event("discovery_call_failed", target=call.target, error=str(error))
-        if not isinstance(error, DiscoveryError | DecodeError):
+        self._counters.add(f"discovery_calls_failed_{call.failure.value}")
+        self._log.event(
+            "discovery_call_failed",
+            target=call.target,
+            reason=call.failure.value,
+            error=str(error),
+            stage=call.stage.value,
+            age=round(call.age, 3),
+        )
+        if call.failure is FailureReason.INTERNAL_ERROR:
             record_internal_error(error, self._counters, self._log)
 
+    def _confirm(self) -> None:
+        """Tell the driver that the list is as current as it can be. What a local agent has counts as told anyway."""
+        if not self.is_local_agent:
+            self._driver.endpoint_list_confirmed()
+
     def _handle_value(self, call: WatchCall, value: bytes) -> None:
         if value:
             self._apply(call, parse_endpoint_list(load_json(value)))
+        self._confirm()
         if call.followed_since is None:
             self._follow(call)
 
@@ -227,3 +249,9 @@
             for record in update.endpoints
         ]
         self._log.event("endpoints_updated", revision=update.revision, complete=update.complete, endpoints=endpoints)
+
+
+def _failure_reason(error: Exception) -> FailureReason:
+    if isinstance(error, DiscoveryError):
+        return error.failure_reason
+    return FailureReason.INVALID_RESPONSE if isinstance(error, DecodeError) else FailureReason.INTERNAL_ERROR
--- a/tests/test_discovery_freshness.py
+++ b/tests/test_discovery_freshness.py
@@ -95,6 +95,9 @@
     def update_endpoints(self, scope, entries=()):
         self.lists.append((scope, entries))
 
+    def endpoint_list_confirmed(self):
+        pass
+
     def apply(self, update):
         if self.faults:
             self.faults -= 1
