Give each soak run loopback addresses of its own, and count failed calls in place of listing them

Runs now listen in a network of their own, on a fixed port. The watcher kept a list of the failures in a row, which an outage would have grown without bound. The stand-ins' accept loop stands once.

--- a/aspensaddle/discovery/watcher.py
+++ b/aspensaddle/discovery/watcher.py
@@ -114,26 +114,25 @@
             self.state = WatchState.STOPPED
 
     async def _watch_forever(self) -> None:
-        failures: list[FailureReason] = []  # of the calls that failed in a row
+        failures = 0  # calls that failed in a row
+        last_failure: FailureReason | None = None
         while True:
             self._address_changed = trio.Event()
             self.state = WatchState.CONNECTING
-            was_rejected = failures[-1:] == [FailureReason.REJECTED]
-            ended = await self._follow_one_watch(may_hedge=not was_rejected)
-            if ended.was_followed() or self._address_changed.is_set():
-                failures.clear()
-            else:
-                failures.append(ended.failure or FailureReason.CONNECTION_LOST)
+            ended = await self._follow_one_watch(may_hedge=last_failure is not FailureReason.REJECTED)
+            was_successful = ended.was_followed() or self._address_changed.is_set()
+            failures = 0 if was_successful else failures + 1
+            last_failure = None if was_successful else ended.failure
             self.state = WatchState.BACKING_OFF
             with trio.move_on_after(self._reconnect_delay(ended, failures)):
                 await self._address_changed.wait()
 
-    def _reconnect_delay(self, ended: WatchCall, failures: list[FailureReason]) -> float:
+    def _reconnect_delay(self, ended: WatchCall, failures: int) -> float:
         if ended.was_followed():
             return watch_policy.reconnect_delay(self._random, timed_out=ended.failure is FailureReason.SILENT)
-        if failures[-1:] == [FailureReason.REJECTED] and not self.is_local_agent:
-            return watch_policy.rejected_delay(len(failures), self._random, balancer_count=self.balancer_count)
-        return self._backoff_delay(len(failures))
+        if failures and ended.failure is FailureReason.REJECTED and not self.is_local_agent:
+            return watch_policy.rejected_delay(failures, self._random, balancer_count=self.balancer_count)
+        return self._backoff_delay(failures)
 
     def _backoff_delay(self, failures: int) -> float:
         relocation_ends = self._address_changed_at + watch_policy.RELOCATION_SECONDS
--- a/tests/soak/player.py
+++ b/tests/soak/player.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import itertools
+import os
 import threading
 import time
 from pathlib import Path
 from random import Random
 
-from standins import SETTINGS, free_port
+from standins import SETTINGS
 
 from .clients import Crowd, Front, SoakClient
 from .faults import make_trouble
@@ -19,6 +20,7 @@
 
 MEASURE_SECONDS = 1.0
 LAG_CHECK_SECONDS = 0.01
+LISTEN_PORT = 8000
 END_SECONDS = 60.0  # for all threads of a run to end
 
 
@@ -43,7 +45,7 @@
         for number, agent in enumerate(self.agents):
             config = {
                 "name": f"n{number}",
-                "listen": f"127.0.0.1:{free_port()}",
+                "listen": f"{_own_network(schedule.seed)}.{number + 1}:{LISTEN_PORT}",
                 "seed": f"{self.draw.getrandbits(64):016x}",
                 "discovery": f"127.0.0.1:{agent.address[1]}",
                 "settings": self.deployment.settings(SETTINGS),
@@ -89,6 +91,11 @@
     return run.record
 
 
+def _own_network(seed: int) -> str:
+    """Return three octets of loopback addresses that no run beside this one and no outgoing connection uses."""
+    return f"127.{2 + seed % 250}.{1 + os.getpid() % 250}"
+
+
 def _play_clients(run: Run) -> None:
     begun = run.record.now()
     steps = [run.start_thread(make_trouble, run, step, begun + step.at) for step in run.schedule.steps]
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -47,17 +47,10 @@
         self._open_lock = threading.Lock()
         super().__init__(uid)
 
-    def _accept(self) -> None:
-        while not self.over.is_set():
-            if self.paused:
-                time.sleep(CHECK_SECONDS)
-                continue
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            self.connections.append(connection)
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+    def wait_to_accept(self) -> None:
+        """Wait until connections may come up."""
+        while self.paused and not self.over.is_set():
+            time.sleep(CHECK_SECONDS)
 
     def pause_accepts(self) -> list[socket.socket]:
         """Let connections come up late from now on: fill the accept queue; return what fills it."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -67,8 +67,12 @@
         self.over = threading.Event()
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def wait_to_accept(self) -> None:
+        """Called before each accept; returns when it may be made."""
+
     def _accept(self) -> None:
         while True:
+            self.wait_to_accept()
             try:
                 connection, _ = self.listener.accept()
             except OSError:
