Take the soak's time of a first byte from the system, and let late connections come up after their drain

The lines had been written before the drain and lay in the accept queue: a fault of the harness, which took the time of its read. It now takes the arrival from TCP_INFO.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,8 +15,8 @@
 
 RETURN_SECONDS = 1.0  # at least, before a server that left comes back
 FIRST_REVISION = 1
-LATE_BEFORE_DRAIN_SECONDS = 0.4
-LATE_SECONDS = 2.4  # the system tries a connection again 1 and 3 s after its first try
+LATE_BEFORE_DRAIN_SECONDS = 1.0
+LATE_SECONDS = 1.4  # the system tries a connection again 1 and 3 s after its first try
 
 
 def make_trouble(run: Run, step: Step, at: float) -> None:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 import threading
 import time
 from io import BufferedReader
@@ -16,6 +17,7 @@
 CHECK_SECONDS = 0.02
 QUEUE_FILLERS = 4  # one may be accepted, the others fill a queue of length 0
 BACKLOG = 128
+TCP_INFO_BYTES, LAST_DATA_RECEIVED_OFFSET = 104, 52  # linux/tcp.h, struct tcp_info
 REJECTION = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -35,6 +37,13 @@
         return True
 
 
+def seconds_since_data(connection: socket.socket) -> float:
+    """Return how long ago the system received the last data, which may have waited for the accept."""
+    info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    (milliseconds,) = struct.unpack_from("=I", info, LAST_DATA_RECEIVED_OFFSET)
+    return float(milliseconds) / 1000
+
+
 class SoakServer(Runner):
     """A server with faults. A fault holds for connections that arrive during it; a hang also for open ones."""
 
@@ -73,7 +82,7 @@
         """Take a first line and answer it as the fault of the moment has it."""
         if not connection.recv(1, socket.MSG_PEEK):
             return
-        at = self.record.now()
+        at = self.record.now() - seconds_since_data(connection)
         with connection.makefile("rb") as lines:
             first = lines.readline()
             if not first.startswith(b"OPEN ") or not first.endswith(b"\n"):
