--- a/tests/standins.py
+++ b/tests/standins.py
@@ -283,6 +283,11 @@
         return self.events("config_reloaded", "reload_rejected")
 
     def start(self) -> None:
+        self.spawn()
+        until(self._ready, "the program is ready")
+
+    def spawn(self) -> None:
+        """Start the process without waiting for it."""
         environ = {
             **os.environ,
             **self.environ,
@@ -298,7 +303,6 @@
             self.process = subprocess.Popen(
                 [sys.executable, *run], cwd=ROOT, env=environ, stdout=log, stderr=log, preexec_fn=self._limit
             )
-        until(self._ready, "the program is ready")
 
     def _limit(self) -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (self.files, self.files))
@@ -337,6 +341,12 @@
     def kill(self) -> None:
         self.process.kill()
         self.process.wait(WAIT)
+        self.check_internal_errors()
+
+    def check_internal_errors(self) -> None:
+        """Fail on an internal error, unless the test has planted one: it was answered, and seen by nobody else."""
+        errors = self.events("internal_error") if self.log.read_bytes().startswith(b"{") else []
+        assert self.patch or not errors, errors
 
 
 class Client:
