--- /dev/null
+++ b/review/support/quic.py
@@ -0,0 +1,44 @@
+"""QUIC stand-ins on loopback sockets: the clients and servers of the project's conformance suite."""
+
+from __future__ import annotations
+
+import socket
+import time
+from typing import Any
+
+from aspensaddle.conformance.net import SocketNet
+from aspensaddle.conformance.quic_client import ClientOptions, QuicClient
+from aspensaddle.conformance.quic_server import RESET_KEY, QuicServer, ServerMode
+from aspensaddle.conformance.testbed import DEFAULT_FORMAT, ids_toml, server_id
+from support.processes import free_port
+
+
+def start_servers(net: SocketNet, count: int, tickets: dict[bytes, Any] | None = None) -> list[QuicServer]:
+    """Start sound servers that share session tickets."""
+    shared = {} if tickets is None else tickets
+    servers = []
+    for index in range(count):
+        server = QuicServer(net, f"s-{index}", DEFAULT_FORMAT, ServerMode.OK, shared, time.time, None)
+        server.server_id = server_id(DEFAULT_FORMAT, server)
+        servers.append(server)
+    return servers
+
+
+def entry(server: QuicServer, **fields: Any) -> dict[str, Any]:
+    """Return the entry of a server in the list of discovery."""
+    return {**server.target(az="surabaya", model="fast-runner"), **fields}
+
+
+def quic_settings(servers: list[QuicServer], **extra: object) -> tuple[tuple[str, int], str]:
+    """Return a free address for the QUIC front end and the operator's file for it."""
+    address = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
+    more = "".join(f"{name} = {value}\n" for name, value in extra.items())
+    return address, (
+        f'enabled = true\nlisten = "{address[0]}:{address[1]}"\nclass = "test-run"\n'
+        f'reset_key = "{RESET_KEY.hex()}"\n{more}{ids_toml((DEFAULT_FORMAT,), servers)}\n'
+    )
+
+
+def connect(net: SocketNet, address: tuple[str, int], **options: Any) -> QuicClient:
+    """Start a client; it sends its first Initial at once."""
+    return QuicClient(net, address, ClientOptions(**options))
