--- a/review/3/play.py
+++ b/review/3/play.py
@@ -60,6 +60,10 @@
         clients = [connect(net, address) for _ in range(CLIENTS)]
         record.note(f"{CLIENTS} clients have sent their first Initial; they wait {DEADLINE_SECONDS} s for an answer")
         net.run(SIGTERM_SECONDS)
+        begun = sum(server.records.connections for server in servers) - 1
+        record.note(f"the balancer has taken the requests: servers have begun {begun} sessions for them")
+        if begun < CLIENTS or any(answered(client) for client in clients):
+            raise CannotRunError("the requests are not all open at the servers")
         if has_trouble():
             balancer.signal(signal.SIGTERM)
             record.note("SIGTERM is sent; SIGKILL would come no sooner than 2.5 s later")
@@ -85,6 +89,8 @@
         if not exited and not balancer.is_running:
             exited.append(time.monotonic())
             record.note(f"the balancer has exited by itself with status {balancer.exit_status}")
+            balancer.spawn()
+            record.note("the platform starts it again, with the same name and addresses")
         return time.monotonic() > stop_at or len(seen) == len(clients)
 
     net.run_until(observe, KILL_SECONDS)
--- a/review/support/processes.py
+++ b/review/support/processes.py
@@ -90,12 +90,8 @@
         (folder / "store.toml").write_text(store_toml or "enabled = false\n")
         self._process: subprocess.Popen[bytes] | None = None
 
-    def start(self, wait: Callable[[float], object] = time.sleep) -> float:
-        """Start the process and wait until it answers PING; return the time at which it did.
-
-        Args:
-            wait: waits for some seconds; it may run stand-ins meanwhile.
-        """
+    def spawn(self) -> None:
+        """Start the process without waiting for it."""
         self.config["seed"] = os.urandom(8).hex()  # new with each start
         (self.folder / "config.json").write_text(json.dumps(self.config))
         environment = {
@@ -113,6 +109,14 @@
             self._process = subprocess.Popen(
                 ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdout=log, stderr=log
             )
+
+    def start(self, wait: Callable[[float], object] = time.sleep) -> float:
+        """Start the process and wait until it answers PING; return the time at which it did.
+
+        Args:
+            wait: waits for some seconds; it may run stand-ins meanwhile.
+        """
+        self.spawn()
         give_up_at = time.monotonic() + READY_SECONDS
         while not self._answers_ping():
             if time.monotonic() > give_up_at or not self.is_running:
--- a/review/support/record.py
+++ b/review/support/record.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -42,6 +43,7 @@
         script: the path of the case's script; the record is written beside it.
         play: plays the case with a record and a temporary folder; returns whether the rule held.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # at the time limit: ends what was started, too
     record = Record(Path(script).resolve().parent / "record.txt")
     record.note(f"start; the disruption is {'played' if has_trouble() else 'left out'}")
     try:
