--- a/review/support/quic.py
+++ b/review/support/quic.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+from collections.abc import Callable
 from typing import Any
 
 from aspensaddle.conformance.net import SocketNet
@@ -25,12 +26,35 @@
         return connection
 
 
-def start_servers(net: SocketNet, count: int, results: bytes = b"") -> list[QuicServer]:
+class LateServer(ResultServer):
+    """A server whose sessions may come up late; `late` decides for each, in order. It is sound otherwise."""
+
+    def __init__(self, *arguments: Any) -> None:
+        """Start with the arguments of `QuicServer`; `late` gives the seconds that the next session takes."""
+        super().__init__(*arguments)
+        self.late: Callable[[], float] = lambda: 0.0
+        self._up_at: dict[tuple[str, int], float] = {}
+
+    def _create_connection(self, dcid: bytes, token: bytes, source: tuple[str, int]) -> ServerConnection:
+        self._up_at[source] = self.net.now() + self.late()
+        return super()._create_connection(dcid, token, source)
+
+    def _send(self, data: bytes, destination: tuple[str, int]) -> None:
+        wait = self._up_at.get(destination, 0.0) - self.net.now()
+        if wait > 0.0:
+            self.net.call_later(wait, lambda: self.net.send(self, data, destination))
+        else:
+            super()._send(data, destination)
+
+
+def start_servers(
+    net: SocketNet, count: int, results: bytes = b"", server_class: type[ResultServer] = ResultServer
+) -> list[QuicServer]:
     """Start sound servers that share session tickets and add `results` to each response."""
     tickets: dict[bytes, Any] = {}
     servers: list[QuicServer] = []
     for index in range(count):
-        server = ResultServer(net, f"s-{index}", DEFAULT_FORMAT, ServerMode.OK, tickets, time.time, None)
+        server = server_class(net, f"s-{index}", DEFAULT_FORMAT, ServerMode.OK, tickets, time.time, None)
         server.results = results
         server.server_id = server_id(DEFAULT_FORMAT, server)
         servers.append(server)
