Adoption: an attempt cancelled by a shutdown may have been executed

Cause: `ConnectionAdopter._attempt` learned from the outcome of the attempt whether it may have been executed. A shutdown cancels the attempt before it has an outcome, so nothing was recorded.

Change: the time is recorded before the first byte, in the check that allows it, and taken back only by an outcome that proves that the request was not executed.

A pause after a server's BUSY is still answered BUSY.

--- a/aspensaddle/frontends/line_protocol/connection_adopter.py
+++ b/aspensaddle/frontends/line_protocol/connection_adopter.py
@@ -50,7 +50,7 @@
     deadline: float
     server: int | None = None
     attempts: int = 0
-    possibly_executed_at: float | None = None
+    possibly_executed_at: float | None = None  # start of the first attempt that may have been executed
     established: AttemptEstablished | None = None
     response: bytes = b""  # the response of a server that served the request at once
     result: AdoptionResult = AdoptionResult.CLIENT_DISCONNECTED  # stays if the adoption is cancelled
@@ -133,21 +133,28 @@
         state, server = adoption.state, adoption.server
         assert server is not None
         adoption.attempts += 1
+        possibly_executed_before = adoption.possibly_executed_at
+        started_at = trio.current_time()
+
+        def may_start() -> bool:
+            allowed = self._frontend.driver.may_start_adoption(state, server)
+            if allowed and adoption.possibly_executed_at is None:
+                # Set before the first byte, as a shutdown may cancel the attempt before it has an outcome.
+                adoption.possibly_executed_at = started_at
+            return allowed
+
         with state.renew_attempt_scope():
             await self._frontend.slots.wait_for_descriptor()
             started_at = trio.current_time()
             result = await self._frontend.connector.attempt(
-                server,
-                adoption.open_request.line_for_server,
-                _attempt_timeout(adoption),
-                lambda: self._frontend.driver.may_start_adoption(state, server),
+                server, adoption.open_request.line_for_server, _attempt_timeout(adoption), may_start
             )
             if isinstance(result, AttemptEstablished):
                 adoption.established = result
             elif result.outcome is Outcome.OK:
                 adoption.response = result.response
-            elif not result.outcome.known_not_executed and adoption.possibly_executed_at is None:
-                adoption.possibly_executed_at = started_at
+            elif result.outcome.known_not_executed:
+                adoption.possibly_executed_at = possibly_executed_before
 
     @staticmethod
     async def _pause(adoption: _Adoption, seconds: float) -> None:
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -175,6 +175,36 @@
     FrontendHarness([server], entries=entries).run(script)
 
 
+@pytest.mark.parametrize(
+    ("repeat", "adoption_stage", "expected_response"),
+    [
+        ("side_effect", "attempt", b"ERR"),  # the server has the line, so the request may have been executed
+        ("side_effect", "pause", b"BUSY"),  # the server has rejected the request
+        ("pure", "attempt", b"BUSY"),
+    ],
+)
+def test_shutdown_answers_an_adoption_with_busy_only_if_a_retry_by_the_client_is_harmless(
+    repeat, adoption_stage, expected_response
+):
+    """Guards against an attempt that a shutdown cancelled, and that counted as never executed."""
+    server = StubServer("s-0", b"BUSY\r\n")
+    server.hold_connections = adoption_stage == "attempt"
+
+    async def script(harness):
+        client = await harness.send_open(ADOPTION_FIELDS)
+        await wait_for_attempts(harness, 1)
+        if adoption_stage == "pause":
+            await trio.sleep(0.1)
+        harness.frontend.accepting_requests = False
+        harness.frontend.reject_pending_requests()
+        assert (await client.read_to_end()).startswith(expected_response)
+        assert adoption_result(harness) == "shutting_down"
+        await close_client(client)
+        await harness.wait_until_all_closed()
+
+    FrontendHarness([server], request_classes=[{**REQUEST_CLASS, "repeat": repeat}]).run(script)
+
+
 def test_second_adoption_under_the_same_id_gets_an_error():
     """Guards against two adoptions under one id, where the one that ended last failed with a KeyError."""
     server = StubServer("s-0", b"BUSY\r\n")
