Store: only a removed entry shows that a server is gone

Seen: with `runners = true` a restarted daemon took the entries that its replica had so far for the whole list. It forgot all other servers of the list from before the restart, and the QUIC front end ends the sessions of a server that left the list with a stateless reset.

Cause: `StoredEndpointSource` passed the entries on as a complete list. An absent key proves nothing in this store; a removal leaves a tombstone.

Change: entries are passed on as changes, removed ones as gone. A server without an entry and without a tombstone stays.

A removed server still leaves the list, and one whose entry is written again returns.

--- a/aspensaddle/daemon/store_integration.py
+++ b/aspensaddle/daemon/store_integration.py
@@ -10,7 +10,7 @@
 import trio
 
 from aspensaddle.core.driver import Driver
-from aspensaddle.core.events import EndpointUpdateScope
+from aspensaddle.core.events import EndpointUpdateScope, ServerState
 from aspensaddle.daemon.config import Config, with_settings
 from aspensaddle.discovery.endpoint_registry import EndpointRegistry
 from aspensaddle.discovery.endpoint_update import EndpointListUpdate, EndpointRecord, parse_endpoint
@@ -29,26 +29,36 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredEndpoints:
-    """The endpoint list that the store's entries make up.
+    """The servers that the store names, and those that were removed from it.
 
     Attributes:
-        update: A complete list of the valid entries.
+        listed: The valid entries.
+        removed: The uids of the removed entries.
         errors: What is wrong with each invalid entry, which is left out.
     """
 
-    update: EndpointListUpdate
+    listed: tuple[EndpointRecord, ...]
+    removed: tuple[str, ...]
     errors: tuple[str, ...]
 
 
-def parse_stored_endpoints(values: dict[str, str]) -> StoredEndpoints:
-    """Decode the store's endpoint entries, given by key."""
-    endpoints, errors = [], []
+def parse_stored_endpoints(values: dict[str, str | None]) -> StoredEndpoints:
+    """Decode the store's endpoint entries, given by key; the value of a removed entry is None."""
+    listed, errors = [], []
     for key, value in values.items():
+        if value is None:
+            continue
         try:
-            endpoints.append(_parse_stored_endpoint(key, value))
+            listed.append(_parse_stored_endpoint(key, value))
         except DecodeError as error:
             errors.append(f"{key}: {error}")
-    return StoredEndpoints(EndpointListUpdate(endpoints=tuple(endpoints)), tuple(errors))
+    removed = tuple(key.removeprefix(ENDPOINT_KEY_PREFIX) for key, value in values.items() if value is None)
+    return StoredEndpoints(tuple(listed), removed, tuple(errors))
+
+
+def _gone(uid: str) -> EndpointRecord:
+    """Return the entry of a server that is not in the list any more."""
+    return EndpointRecord(uid, address=None, zone="", cell=0, state=ServerState.GONE, weight=1.0, started_at=0.0)
 
 
 def _parse_stored_endpoint(key: str, value: str) -> EndpointRecord:
@@ -110,16 +120,20 @@
     def _publish(self) -> bool:
         """Pass the list to the driver.
 
+        Only a removed entry shows that a server is gone. A replica that has restarted gets the entries one after the
+        other, and entries can be lost, so a server without an entry stays in the list.
+
         Returns:
-            False if the store has no endpoint, since it is empty or not synchronized yet; the driver keeps its list.
+            False if the store names no server, since it is empty or not synchronized yet; the driver keeps its list.
         """
-        stored = parse_stored_endpoints(self._replica.state.values(ENDPOINT_KEY_PREFIX))
+        stored = parse_stored_endpoints(self._replica.state.values_and_removals(ENDPOINT_KEY_PREFIX))
         for error in stored.errors:
             self._counters.add("stored_endpoints_rejected")
             self._log.event("stored_endpoint_rejected", error=error)
-        update = stored.update
-        if not update.endpoints:
+        if not stored.listed:
             return False
+        removed = tuple(_gone(uid) for uid in stored.removed if self._registry.find(uid) is not None)
+        update = EndpointListUpdate(complete=False, endpoints=stored.listed + removed)
         self._counters.add("endpoint_updates_applied")
         endpoints = [[record.uid, record.state.value] for record in update.endpoints]
         self._log.event("endpoints_updated", revision=update.revision, complete=update.complete, endpoints=endpoints)
--- a/aspensaddle/store/state.py
+++ b/aspensaddle/store/state.py
@@ -122,6 +122,10 @@
             if key.startswith(prefix) and entry.value is not None
         }
 
+    def values_and_removals(self, prefix: str) -> dict[str, str | None]:
+        """Return the values of all keys with a prefix, sorted by key; None for a key that was removed."""
+        return {key: entry.value for key, entry in sorted(self.entries.items()) if key.startswith(prefix)}
+
     def put(self, key: str, value: str | None) -> Entry:
         """Write a value on this node; None removes the key.
 
