Endpoint registry: which servers left the list, and when the list was last confirmed

The registry could not tell a server that has left from one that has not been named yet.

Change: it remembers the uids of the last 4,096 servers that left, until they return, and the time at which the list's source last showed the list to be whole and current: the watcher sets it at each complete line and heartbeat, not where the service cannot be reached. A list that only the configuration changes counts as confirmed. Nothing reads either yet.

--- a/aspensaddle/daemon/service.py
+++ b/aspensaddle/daemon/service.py
@@ -142,6 +142,8 @@
 
     def _start_tasks(self, nursery: trio.Nursery, listener: Listener) -> None:
         self._driver.start(self._registry.apply(self._config.known))
+        if self._endpoint_source is None:
+            self._registry.confirmed_at = float("inf")
         if isinstance(self._endpoint_source, EndpointWatcher):
             # The driver starts the watch of a stored source; an EndpointWatcher starts here, after its own delay.
             nursery.start_soon(self._supervisor.run_once, self._endpoint_source.start, self._report_failed_update)
--- a/aspensaddle/discovery/endpoint_registry.py
+++ b/aspensaddle/discovery/endpoint_registry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+
 from aspensaddle.core.events import Endpoint, ServerState
 from aspensaddle.discovery.endpoint_update import EndpointListUpdate, EndpointRecord
 from aspensaddle.support.address import Address
@@ -9,6 +11,7 @@
 
 SERVER_NUMBER_BITS = 32
 UNKNOWN_ZONE_BITS = 16
+MAX_DEPARTED_SERVERS = 4096  # limit of the remembered uids of servers that left the list
 
 
 class EndpointRegistry:
@@ -19,14 +22,18 @@
 
     Attributes:
         addresses: The address of each server in the list, by server number.
+        confirmed_at: When the list's source last showed that the list is whole and current, in seconds of the event
+            loop's clock; minus infinity if it never did, infinity for a list that only the configuration changes.
     """
 
     def __init__(self, zones: tuple[str, ...], machine_types: tuple[str, ...] = ()) -> None:
         self.zones = zones
         self.machine_types = machine_types
         self.addresses: dict[int, Address] = {}
+        self.confirmed_at = float("-inf")
         self._numbers: dict[str, int] = {}
         self._uids: dict[int, str] = {}
+        self._departed_uids: OrderedDict[str, None] = OrderedDict()  # the one that left longest ago comes first
 
     def number(self, uid: str) -> int:
         """Return the number of a uid, assigned on first use."""
@@ -50,11 +57,22 @@
         """Return the uid of a server number, or the number itself as text if it is unknown."""
         return self._uids.get(server, str(server))
 
+    def has_departed(self, uid: str) -> bool:
+        """Return whether the list had a server and has it no more, or named it as gone, as far as remembered."""
+        return uid in self._departed_uids
+
     def forget(self, server: int) -> None:
         """Remove a server and its number."""
         self.addresses.pop(server, None)
         if (uid := self._uids.pop(server, None)) is not None:
             del self._numbers[uid]
+            self._remember_departure(uid)
+
+    def _remember_departure(self, uid: str) -> None:
+        self._departed_uids[uid] = None
+        self._departed_uids.move_to_end(uid)
+        while len(self._departed_uids) > MAX_DEPARTED_SERVERS:
+            self._departed_uids.popitem(last=False)
 
     def apply(self, update: EndpointListUpdate) -> tuple[Endpoint, ...]:
         """Apply an update and return its entries for the core.
@@ -80,6 +98,8 @@
             self.addresses[endpoint.server] = record.address
         if endpoint.state is ServerState.GONE:
             self.forget(endpoint.server)
+        else:
+            self._departed_uids.pop(record.uid, None)
         return endpoint
 
     def _forget_all_except(self, servers: set[int]) -> None:
--- a/aspensaddle/discovery/watcher.py
+++ b/aspensaddle/discovery/watcher.py
@@ -207,6 +207,7 @@
     def _handle_value(self, call: WatchCall, value: bytes) -> None:
         if value:
             self._apply(call, parse_endpoint_list(load_json(value)))
+        self._registry.confirmed_at = trio.current_time()
         self._confirm()
         if call.followed_since is None:
             self._follow(call)
--- a/tests/test_discovery_freshness.py
+++ b/tests/test_discovery_freshness.py
@@ -28,7 +28,7 @@
 from aspensaddle.discovery import watch_policy
 from aspensaddle.discovery.errors import IncompleteValueError, ValueTooLongError
 from aspensaddle.discovery.json_stream import MAX_VALUE_BYTES, JsonValueSplitter
-from aspensaddle.discovery.watcher import DISCOVERY_PATH, EndpointWatcher
+from aspensaddle.discovery.watcher import DISCOVERY_PATH, EndpointWatcher, WatchState
 from aspensaddle.support.counters import Counters
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -107,6 +107,7 @@
 
     def __init__(self):
         self.updates, self.faults = [], 0
+        self.confirmed_at = float("-inf")
 
     def update_endpoints(self, scope, entries=()):
         self.updates.append((scope, entries))
@@ -312,6 +313,28 @@
     run_watcher(ScriptedDiscovery(never_complete, serve_watch(endpoint_list(3, "s-1"))), scenario)
 
 
+def test_list_is_confirmed_by_complete_lines_and_heartbeats_and_not_by_failed_calls():
+    def serve_when_told(server, connection):
+        server.signals["serve"].wait()
+        serve_watch(endpoint_list(1, "s-0"))(server, connection)
+
+    async def scenario(context):
+        await wait_until_async(lambda: len(context.server.calls) >= 2)
+        assert context.driver.confirmed_at == float("-inf")  # no call has succeeded yet
+        context.server.signals["serve"].set()
+        await wait_until_async(lambda: context.driver.updates)
+        confirmed_at = context.driver.confirmed_at
+        assert trio.current_time() - 1.0 < confirmed_at <= trio.current_time()
+        await wait_until_async(lambda: context.driver.confirmed_at > confirmed_at)  # by a heartbeat
+        context.server.close()
+        await wait_until_async(lambda: context.watcher.state is not WatchState.FOLLOWING)
+        confirmed_at = context.driver.confirmed_at
+        await trio.sleep(0.2)
+        assert context.driver.confirmed_at == confirmed_at  # the service cannot be reached
+
+    run_watcher(ScriptedDiscovery(reject_call, serve_when_told), scenario)
+
+
 def test_heartbeats_keep_a_watch_open():
     async def scenario(context):
         await wait_until_async(lambda: context.driver.updates)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -176,3 +176,25 @@
     assert registry.find("s-5be2a07c") is not None and registry.find("s-2") is None
     registry.apply(parse_endpoint_list({"rev": 42, "all": True, "targets": []}))
     assert registry.find("s-5be2a07c") is None and not registry.addresses
+
+
+def test_registry_remembers_which_servers_left_the_list_until_they_return(monkeypatch):
+    registry = EndpointRegistry(())
+
+    def apply(*targets, complete=False):
+        entries = [{"uid": uid, "endpoint": "127.0.0.1:1", "state": state} for uid, state in targets]
+        registry.apply(parse_endpoint_list({"rev": 1, "all": complete, "targets": entries}))
+
+    apply(("s-1", "active"), ("s-2", "active"), ("s-3", "leaving"), complete=True)
+    assert not any(registry.has_departed(uid) for uid in ("s-1", "s-2", "s-3", "s-4"))
+    apply(("s-1", "left"), ("s-4", "left"))
+    apply(("s-2", "active"), complete=True)
+    # s-4 was named as gone, s-9 was never named.
+    assert [registry.has_departed(f"s-{number}") for number in (1, 2, 3, 4, 9)] == [True, False, True, True, False]
+    apply(("s-1", "active"))
+    assert not registry.has_departed("s-1") and registry.has_departed("s-3")
+    monkeypatch.setattr("aspensaddle.discovery.endpoint_registry.MAX_DEPARTED_SERVERS", 2)
+    for uid in ("s-5", "s-6", "s-7"):
+        apply((uid, "active"))
+        apply((uid, "left"))
+    assert [registry.has_departed(f"s-{number}") for number in (3, 4, 5, 6, 7)] == [False, False, False, True, True]
