--- a/aspensaddle/frontends/quic/session.py
+++ b/aspensaddle/frontends/quic/session.py
@@ -104,6 +104,8 @@
     bound_to_server: bool = False  # whether a server sent a Retry or Version Negotiation, so no other can continue
     early_replies: list[bytes] = field(default_factory=list)  # server datagrams held until one is authenticated
     attempts: int = 0
+    attempt_started_at: float = 0.0  # of the latest attempt, in seconds of the context's clock
+    datagrams_sent: int = 0  # to the server of the latest attempt
     timer_id: int = 0  # the timer in force; others that were started before it are ignored
 
 
@@ -119,6 +121,8 @@
     other_paths: list[Path] | None = None  # earlier paths, oldest first
     cids: tuple[bytes, ...] = ()  # the latest connection IDs that the server issued, oldest first
     last_active_at: float = 0.0
+    last_client_datagram_at: float | None = None
+    last_server_datagram_at: float | None = None
     first_unanswered_at: float = 0.0  # time of the client's first datagram after the server's latest
     unanswered_datagrams: int = 0
     bytes_from_server: int = 0  # counted until an adopted session is confirmed
--- a/aspensaddle/frontends/quic/session_setup.py
+++ b/aspensaddle/frontends/quic/session_setup.py
@@ -108,7 +108,7 @@
         if result is AddResult.DROPPED:
             self.context.counters.add("quic datagrams dropped")
         elif setup.stage is SetupStage.ATTEMPTING and setup.path is not None:
-            self.context.transport.send_to_server(data, setup.path)
+            self._send_to_server(setup, setup.path, data)
         elif setup.stage is SetupStage.CLIENT_HELLO_INCOMPLETE and (
             setup.flight.client_hello or not self.context.settings.rules.need_client_hello
         ):
@@ -183,6 +183,7 @@
         context = self.context
         context.counters.add("quic attempts")
         setup.attempts += 1
+        setup.attempt_started_at, setup.datagrams_sent = context.now, 0
         setup.stage = SetupStage.ATTEMPTING
         speaks_quic = context.endpoints.uid(action.server) in context.directory.uids
         setup.path = self.paths.open(session, action.server, setup.client_address) if speaks_quic else None
@@ -191,16 +192,20 @@
             return
         setup.path.amplification_limit = setup.amplification_limit
         for data in setup.flight.datagrams:
-            context.transport.send_to_server(data, setup.path)
+            self._send_to_server(setup, setup.path, data)
         reply_timeout = context.settings.reply_within_s or context.driver.settings.limits.connect_timeout
         self._start_timer(session, setup, min(action.timeout, reply_timeout))
 
+    def _send_to_server(self, setup: SetupState, path: Path, data: bytes) -> None:
+        setup.datagrams_sent += 1
+        self.context.transport.send_to_server(data, path)
+
     def _end_attempt(self, session: Session, setup: SetupState, outcome: Outcome) -> None:
         """End the attempt and report its outcome to the driver, which decides what follows.
 
         The attempt's path is closed, so late packets of its server are dropped.
         """
-        self.context.counters.add(f"quic attempts {outcome.label}")
+        self._log_attempt(session, setup, outcome)
         setup.timer_id, setup.stage = 0, SetupStage.AWAITING_DECISION
         if setup.path is not None:
             self.paths.close(setup.path)
@@ -211,6 +216,19 @@
         if is_final:  # no other server accepts the token that this one issued
             self._close(session, setup, INTERNAL_ERROR, b"ERR", "quic failed")
 
+    def _log_attempt(self, session: Session, setup: SetupState, outcome: Outcome) -> None:
+        context = self.context
+        context.counters.add(f"quic attempts {outcome.label}")
+        context.log.event(
+            "quic attempt ended",
+            id=session.id,
+            attempt=setup.attempts,
+            server=None if setup.path is None else context.endpoints.uid(setup.path.server),
+            outcome=outcome.label,
+            datagrams=setup.datagrams_sent,
+            ms=round(1000 * (context.now - setup.attempt_started_at), 1),
+        )
+
     def handle_server_reply(self, session: Session, setup: SetupState, path: Path, data: bytes) -> None:
         """Handle a server's datagram during an attempt.
 
@@ -261,7 +279,7 @@
         context.counters.add("quic placed")
         self._finish(session, setup, placed=True)
         session.server, session.path, session.setup = path.server, path, None
-        session.last_active_at = path.last_used_at = context.now
+        session.last_active_at = session.last_server_datagram_at = path.last_used_at = context.now
         if path.amplification_limit is not None:
             path.amplification_limit.validating_cid = scid
         if context.directory.is_routable(scid):
--- a/aspensaddle/frontends/quic/session_table.py
+++ b/aspensaddle/frontends/quic/session_table.py
@@ -133,7 +133,7 @@
             if path is None:
                 return
         now = self.context.now
-        session.last_active_at = path.last_used_at = now
+        session.last_active_at = session.last_client_datagram_at = path.last_used_at = now
         session.unanswered_datagrams += 1
         if session.unanswered_datagrams == 1:
             session.first_unanswered_at = now
@@ -171,7 +171,7 @@
 
     def forward_to_client(self, session: Session, path: Path, data: bytes) -> None:
         """Forward a server's datagram to the client of an established session."""
-        session.last_active_at = path.last_used_at = self.context.now
+        session.last_active_at = session.last_server_datagram_at = path.last_used_at = self.context.now
         session.unanswered_datagrams = 0
         session.server_has_replied = True
         if session.id in self._unconfirmed:
@@ -199,7 +199,7 @@
         if session.ended:
             return
         self.context.counters.add("quic moved" if end is MIGRATED else f"quic ended {end.outcome.label}")
-        self.context.log.event("quic ended", id=session.id, why=end.reason)
+        self._log_end(session, end)
         if end.send_reset:
             for dcid in session.cids:
                 self.reset_cids.put(dcid, True, self.context.now)
@@ -209,6 +209,20 @@
         self.context.driver.attempt_ended(session.id, end.outcome, finished=True)
         self.remove(session)
 
+    def _log_end(self, session: Session, end: SessionEnd) -> None:
+        self.context.log.event(
+            "quic ended",
+            id=session.id,
+            why=end.reason,
+            server=self.context.endpoints.uid(session.server),
+            unanswered=session.unanswered_datagrams,
+            client_silent_ms=self._milliseconds_since(session.last_client_datagram_at),
+            server_silent_ms=self._milliseconds_since(session.last_server_datagram_at),
+        )
+
+    def _milliseconds_since(self, time: float | None) -> int | None:
+        return None if time is None else round(1000 * (self.context.now - time))
+
     def remove(self, session: Session) -> None:
         """Remove a session and close its paths.
 
