QUIC: a client's absence is no evidence that its server is silent

Cause: every datagram of a client counted as unanswered until the server sent one. Three acknowledgments after the last piece of a response were left when the client moved away, 4.5 s later the session ended as "server silent", and its ids were reset for 30 s. The log tells it from a server that is silent: "unanswered":4,"client_silent_ms":4504, "server_silent_ms":4535. Ruled out by it: lost datagrams, a wrong server (n1 reads the same one from the id). By the same belief, datagrams that are forged, to an id that was seen or made up, ended sessions as lost connections of the server and brought their sender a reset with the token of the id.

Change: `server_silence.py`. A server counts as lost if a client goes on sending for more than 4.5 s on a path that the server has confirmed (more than 128 octets), with pauses no longer than those of a client that repeats, and the server has sent nothing to any session since, 1 s after the latest datagram at the earliest. An adopted session that is not confirmed is not reported as a lost connection. `session_end.py`: a reset for silence goes to confirmed paths and is repeated only for the client's addresses of then; a client from another one is sent to its server.

Tests: tests/test_quic_session_ends.py.

--- a/aspensaddle/frontends/quic/delivery.py
+++ b/aspensaddle/frontends/quic/delivery.py
@@ -32,13 +32,13 @@
     quote: bytes
 
     def concerns(self, datagram: bytes) -> bool:
-        """Return whether the report is about this datagram, of which the first `MAX_QUOTE_BYTES` are enough.
+        """Return whether the report is about this datagram, of which the start may be given.
 
         A report that quotes too little, or bytes that were never sent, may be forged or about an earlier use of the
         socket. It concerns no datagram.
         """
-        quote = self.quote[:MAX_QUOTE_BYTES]
-        return len(quote) >= min(MIN_QUOTE_BYTES, len(datagram)) and datagram.startswith(quote)
+        length = min(len(self.quote), len(datagram))
+        return length >= min(MIN_QUOTE_BYTES, len(datagram)) and self.quote[:length] == datagram[:length]
 
 
 class DatagramRole(Enum):
--- a/aspensaddle/frontends/quic/engine.py
+++ b/aspensaddle/frontends/quic/engine.py
@@ -31,6 +31,7 @@
 from aspensaddle.frontends.quic.responder import Responder
 from aspensaddle.frontends.quic.session import ClientAddress, ServerAddress
 from aspensaddle.frontends.quic.session_setup import SessionSetup
+from aspensaddle.frontends.quic.session_sweep import SessionSweep
 from aspensaddle.frontends.quic.session_table import SessionTable
 from aspensaddle.frontends.quic.settings import QuicSettings
 from aspensaddle.support.counters import Counters
@@ -74,6 +75,7 @@
         self.responder = Responder(self.context)
         self.sessions = SessionTable(self.context, self.paths, self.responder)
         self.session_setup = SessionSetup(self.context, self.sessions, self.paths, self.responder)
+        self._session_sweep = SessionSweep(self.context, self.sessions, self.paths)
         self._initial_admission = InitialAdmission(self.context, self.sessions, self.responder)
         self._early_zero_rtt: ExpiringMap[list[bytes]] = ExpiringMap(MAX_EARLY_ZERO_RTT_CIDS, EARLY_ZERO_RTT_SECONDS)
         self._cid_lengths = directory.lengths_by_codepoint
@@ -217,8 +219,12 @@
                 self.responder.send_stateless_reset(dcid, len(data), client_address)
             return
         server = context.endpoints.find(info.uid)
-        if server is None or sessions.reset_cids.get(dcid, context.now):
-            # The server is gone or the session was reset; with another reset, the client can reconnect at once.
+        if server is None:
+            self.responder.send_stateless_reset(dcid, len(data), client_address)
+            return
+        reset = sessions.resets.get(dcid, context.now)
+        if reset is not None and reset.applies_to(client_address):
+            # The session was reset; with another reset, the client can reconnect at once.
             self.responder.send_stateless_reset(dcid, len(data), client_address)
             return
         path = self.paths.find_path(client_address, server)
@@ -237,6 +243,7 @@
         if path is None:
             self.context.counters.add("quic late returns")  # the attempt or session has ended
             return
+        self.sessions.server_activity.record(path.server, self.context.now)
         session = path.session
         if session.setup is None:
             self.sessions.forward_to_client(session, path, data)
@@ -266,7 +273,7 @@
 
     def sweep(self) -> None:
         """Check a part of the sessions, and end those that are idle or have lost their server."""
-        self.sessions.sweep()
+        self._session_sweep.run()
         self.session_setup.carry_out_actions()
 
     def next_timer(self) -> float | None:
--- a/aspensaddle/frontends/quic/session.py
+++ b/aspensaddle/frontends/quic/session.py
@@ -10,15 +10,16 @@
 from enum import Enum
 
 from aspensaddle.core.actions import RequestAction
-from aspensaddle.core.events import Outcome
 from aspensaddle.frontends.quic.delivery import SentDatagrams
 from aspensaddle.frontends.quic.flight import Flight
+from aspensaddle.frontends.quic.server_silence import UnansweredDatagrams
 
 ClientAddress = tuple[str, int]  # host and port of a client, as the socket reports them
 ServerAddress = tuple[str, int]  # host and port of a server
 
 AMPLIFICATION_FACTOR = 3  # bytes that may be sent per byte received from an unvalidated address (RFC 9000, 8.1)
 PATH_PROBE_BYTES = 1200  # size of a datagram with a PATH_CHALLENGE, and of the response to it (RFC 9000, 8.2.1)
+CONFIRMING_BYTES = 128  # a path is confirmed by more bytes from its server; stateless resets have fewer
 MIN_VALIDATING_ROUND_TRIPS = 3  # responses to sent datagrams after which a client's address counts as validated
 
 
@@ -78,6 +79,9 @@
     last_datagram_start: bytes = b""  # its start, to recognize a report that it was not delivered
     # None when the client's address is validated
     amplification_limit: AmplificationLimit | None = field(default_factory=AmplificationLimit)
+    bytes_from_server: int = 0
+    is_confirmed: bool = False  # whether the server has sent enough to show that it has the session at this address
+    unanswered: UnansweredDatagrams = field(default_factory=UnansweredDatagrams)
 
 
 class SetupStage(Enum):
@@ -121,13 +125,11 @@
     setup: SetupState | None = None
     path: Path | None = None  # the path that the client used last
     other_paths: list[Path] | None = None  # earlier paths, oldest first
+    confirmed_address: ClientAddress | None = None  # the client's address on the path that was confirmed last
     cids: tuple[bytes, ...] = ()  # the latest connection IDs that the server issued, oldest first
     last_active_at: float = 0.0
     last_client_datagram_at: float | None = None
     last_server_datagram_at: float | None = None
-    first_unanswered_at: float = 0.0  # time of the client's first datagram after the server's latest
-    unanswered_datagrams: int = 0
-    bytes_from_server: int = 0  # counted until an adopted session is confirmed
     server_has_replied: bool = False  # since this process established or adopted the session
     migrating: bool = False
     routed_by_address: bool = False  # whether the client's address identifies it too, as its CIDs are not routable
@@ -145,12 +147,3 @@
         """Return the session's paths, the one in use first."""
         found = [] if self.path is None else [self.path]
         return found + (self.other_paths or [])
-
-
-@dataclass(frozen=True, slots=True)
-class SessionEnd:
-    """How an established session ended. `reason` is logged."""
-
-    outcome: Outcome
-    send_reset: bool  # whether the client is sent a stateless reset, so that it reconnects at once
-    reason: str
--- a/aspensaddle/frontends/quic/session_setup.py
+++ b/aspensaddle/frontends/quic/session_setup.py
@@ -300,6 +300,7 @@
             self.sessions.add_cid(session, scid)
             self.sessions.by_address[path.client_address] = session
         for data in setup.early_replies:
+            self.sessions.count_bytes_from_server(session, path, len(data))
             self._send_to_client(path, data)
         # Further packets to the client-chosen connection ID belong to the session.
         self.sessions.by_client_cid.put(setup.dcid, session, context.now)
--- a/aspensaddle/frontends/quic/session_table.py
+++ b/aspensaddle/frontends/quic/session_table.py
@@ -7,33 +7,28 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterator
 
 from aspensaddle.core.actions import RequestAction
 from aspensaddle.core.events import Outcome, Request
 from aspensaddle.frontends.quic.context import Context
-from aspensaddle.frontends.quic.delivery import MAX_QUOTE_BYTES, DeliveryFailure, FailureReason
+from aspensaddle.frontends.quic.delivery import MIN_QUOTE_BYTES, DeliveryFailure, FailureReason
 from aspensaddle.frontends.quic.limits import ExpiringMap, RateLimiter
 from aspensaddle.frontends.quic.path_table import MAX_PATHS_PER_SESSION, PathTable
 from aspensaddle.frontends.quic.responder import Responder
-from aspensaddle.frontends.quic.session import ClientAddress, Path, Session, SessionEnd
+from aspensaddle.frontends.quic.server_silence import ServerActivity
+from aspensaddle.frontends.quic.session import CONFIRMING_BYTES, ClientAddress, Path, Session
+from aspensaddle.frontends.quic.session_end import (
+    EVICTED,
+    MIGRATED,
+    SERVER_UNREACHABLE,
+    RememberedReset,
+    ResetScope,
+    SessionEnd,
+)
 
 MAX_SESSION_CIDS = 8  # limit of the remembered connection IDs of a session, the latest ones
 RESET_MEMORY_SECONDS = 30.0  # time for which packets to a reset session's connection IDs get a stateless reset
-# A server counts as lost if it has answered none of at least this many datagrams for this time.
-SERVER_SILENCE_SECONDS = 4.5
-MIN_UNANSWERED_DATAGRAMS = 3
 SHORT_QUARANTINE_SECONDS = 0.25  # quarantine of a path on which the server never sent anything
-CONFIRMING_BYTES = 128  # an adopted session is confirmed by more bytes from its server; stateless resets have fewer
-SWEEP_PARTS = 5  # each sweep checks a part of the sessions, so that none delays datagrams for long
-MIN_SWEPT_SESSIONS = 64
-
-SERVER_GONE = SessionEnd(Outcome.CONNECTION_LOST, True, "server left the endpoint list")
-SERVER_SILENT = SessionEnd(Outcome.CONNECTION_LOST, True, "server silent")
-SERVER_UNREACHABLE = SessionEnd(Outcome.CONNECTION_LOST, True, "server unreachable")
-IDLE_TIMEOUT = SessionEnd(Outcome.OK, False, "idle")  # an intermediary cannot see the regular end of a connection
-MIGRATED = SessionEnd(Outcome.CANCELLED, True, "moved")
-EVICTED = SessionEnd(Outcome.CANCELLED, False, "evicted before its server confirmed it")
 
 
 class SessionTable:
@@ -47,11 +42,11 @@
         # The session of each client-chosen connection ID; None if its final response was sent.
         self.by_client_cid: ExpiringMap[Session | None] = ExpiringMap(0, 0.0)
         self.by_server_cid: dict[bytes, Session] = {}  # keys are connection IDs that servers issued
-        self.reset_cids: ExpiringMap[bool] = ExpiringMap(0, 0.0)
+        self.resets: ExpiringMap[RememberedReset] = ExpiringMap(0, 0.0)  # by connection ID
+        self.server_activity = ServerActivity()
         self.by_address: dict[ClientAddress, Session] = {}  # sessions whose connection IDs are not routable
         self._unconfirmed: OrderedDict[str, Session] = OrderedDict()  # adopted sessions that no server has confirmed
         self._created_count = 0
-        self._remaining_to_sweep: Iterator[Session] = iter(())
         self.configure()
 
     def configure(self) -> None:
@@ -61,7 +56,7 @@
             2 * settings.most_sessions,
             settings.initial_s,
         )
-        self.reset_cids.max_entries, self.reset_cids.lifetime_seconds = (
+        self.resets.max_entries, self.resets.lifetime_seconds = (
             MAX_SESSION_CIDS * settings.most_sessions,
             RESET_MEMORY_SECONDS,
         )
@@ -135,18 +130,25 @@
                 return
         now = self.context.now
         session.last_active_at = session.last_client_datagram_at = path.last_used_at = now
-        session.unanswered_datagrams += 1
-        if session.unanswered_datagrams == 1:
-            session.first_unanswered_at = now
+        path.unanswered.record(now, self.server_activity.last_heard_at(session.server))
         path.last_datagram_bytes = len(data)
-        path.last_datagram_start = data[:MAX_QUOTE_BYTES]
+        path.last_datagram_start = data[:MIN_QUOTE_BYTES]
         if dcid:
             path.dcid = dcid
         if path.amplification_limit is not None and path.amplification_limit.record_received(len(data), dcid):
             path.amplification_limit = None
         self.context.transport.send_to_server(data, path)
-        if session.migrating and path.dcid:
-            self.end(session, MIGRATED)
+        if session.migrating:
+            self.migrate(session)
+
+    def has_lost_its_server(self, session: Session) -> bool:
+        """Return whether the server of an established session is silent for so long that it counts as lost."""
+        path = session.path
+        if path is None or not path.is_confirmed:
+            return False
+        return path.unanswered.show_a_lost_server(
+            self.context.now, self.server_activity.last_heard_at(session.server)
+        )
 
     def _switch_path(self, session: Session, client_address: ClientAddress) -> Path | None:
         """Use the path of another address of the client, which is opened if there is none (RFC 9000, 9)."""
@@ -157,6 +159,7 @@
             path = self.paths.open(session, session.server, client_address)
             if path is None:
                 return None
+            path.is_confirmed = client_address == session.confirmed_address  # it was closed for lack of sockets
             if session.path is not None:
                 self.context.counters.add("quic paths changed")
             if session.routed_by_address:
@@ -174,17 +177,20 @@
     def forward_to_client(self, session: Session, path: Path, data: bytes) -> None:
         """Forward a server's datagram to the client of an established session."""
         session.last_active_at = session.last_server_datagram_at = path.last_used_at = self.context.now
-        session.unanswered_datagrams = 0
         session.server_has_replied = True
-        if session.id in self._unconfirmed:
-            session.bytes_from_server += len(data)
-            if session.bytes_from_server > CONFIRMING_BYTES:
-                del self._unconfirmed[session.id]
+        self.count_bytes_from_server(session, path, len(data))
         if path.amplification_limit is not None and not path.amplification_limit.try_consume(len(data)):
             self.context.counters.add("quic over three times")
             return
         self.context.transport.send_to_client(data, path.client_address)
 
+    def count_bytes_from_server(self, session: Session, path: Path, size: int) -> None:
+        """Count bytes from the server of an established session, which is confirmed by enough of them on one path."""
+        path.bytes_from_server += size
+        if not path.is_confirmed and path.bytes_from_server > CONFIRMING_BYTES:
+            path.is_confirmed, session.confirmed_address = True, path.client_address
+            self._unconfirmed.pop(session.id, None)
+
     # Ends of sessions
 
     def handle_delivery_failure(self, session: Session, path: Path, failure: DeliveryFailure) -> None:
@@ -198,34 +204,43 @@
     def migrate(self, session: Session) -> None:
         """Make the client reconnect elsewhere, as the balancer decided.
 
-        The client is sent a stateless reset, as soon as a connection ID that it uses is known.
+        The client is sent a stateless reset, as soon as a connection ID that it uses is known on a confirmed path.
         """
         session.migrating = True
-        if session.path is not None and session.path.dcid:
+        if session.path is not None and session.path.dcid and session.path.is_confirmed:
             self.end(session, MIGRATED)
 
     def end(self, session: Session, end: SessionEnd) -> None:
         """End an established session, count and log it, and report it to the driver. Later calls do nothing."""
         if session.ended:
             return
-        self.context.counters.add("quic moved" if end is MIGRATED else f"quic ended {end.outcome.label}")
+        outcome = end.outcome
+        if outcome is Outcome.CONNECTION_LOST and session.id in self._unconfirmed:
+            outcome = Outcome.CANCELLED  # its connection IDs may be forged, so it says nothing about the server
+        self.context.counters.add("quic moved" if end is MIGRATED else f"quic ended {outcome.label}")
         self._log_end(session, end)
-        if end.send_reset:
-            for dcid in session.cids:
-                self.reset_cids.put(dcid, True, self.context.now)
-            for path in session.all_paths():
-                if path.dcid:
-                    self.responder.send_stateless_reset(path.dcid, path.last_datagram_bytes, path.client_address)
-        self.context.driver.attempt_ended(session.id, end.outcome, finished=True)
+        self._send_resets(session, end)
+        self.context.driver.attempt_ended(session.id, outcome, finished=True)
         self.remove(session)
 
+    def _send_resets(self, session: Session, end: SessionEnd) -> None:
+        if end.reset_scope is ResetScope.NONE:
+            return
+        paths = [path for path in session.all_paths() if path.is_confirmed or end.reset_scope is ResetScope.ALL_PATHS]
+        for path in paths:
+            if path.dcid:
+                self.responder.send_stateless_reset(path.dcid, path.last_datagram_bytes, path.client_address)
+        addresses = None if end is MIGRATED else frozenset(path.client_address for path in paths)
+        for dcid in session.cids:
+            self.resets.put(dcid, RememberedReset(addresses), self.context.now)
+
     def _log_end(self, session: Session, end: SessionEnd) -> None:
         self.context.log.event(
             "quic ended",
             id=session.id,
             why=end.reason,
             server=self.context.endpoints.uid(session.server),
-            unanswered=session.unanswered_datagrams,
+            unanswered=0 if session.path is None else session.path.unanswered.count,
             client_silent_ms=self._milliseconds_since(session.last_client_datagram_at),
             server_silent_ms=self._milliseconds_since(session.last_server_datagram_at),
         )
@@ -266,30 +281,3 @@
         ]:
             session = self.by_server_cid.pop(dcid)
             session.cids = tuple(cid for cid in session.cids if cid != dcid)
-
-    def sweep(self) -> None:
-        """Check a part of the sessions and end those that are idle or whose server is lost."""
-        now, idle = self.context.now, self.context.settings.idle_s
-        for _ in range(max(MIN_SWEPT_SESSIONS, len(self.by_id) // SWEEP_PARTS)):
-            session = next(self._remaining_to_sweep, None)
-            if session is None:
-                self._remaining_to_sweep = iter(list(self.by_id.values()))
-                self.paths.forget_gone_servers()
-                if self.context.directory.has_newly_retired(self.context.unix_time()):
-                    self.forget_unreadable_cids()
-                return
-            if session.ended or session.setup is not None:
-                continue
-            if session.server not in self.context.endpoints.addresses:
-                self.end(session, SERVER_GONE)
-            elif (
-                session.unanswered_datagrams >= MIN_UNANSWERED_DATAGRAMS
-                and now - session.first_unanswered_at > SERVER_SILENCE_SECONDS
-            ):
-                self.end(session, SERVER_SILENT)
-            elif now - session.last_active_at > idle:
-                self.end(session, IDLE_TIMEOUT)
-            else:
-                for path in list(session.other_paths or ()):
-                    if now - path.last_used_at > idle:
-                        self.paths.close(path)
