QUIC: a late report about an attempt does not end the session it established

Seen on reading again: before a client's first datagram in an established session there is nothing to compare a report with, and the empty start of a datagram matched any quote. A report of the attempt that came late ended the session.

Change: a report concerns no datagram where none was sent.

--- a/aspensaddle/frontends/quic/delivery.py
+++ b/aspensaddle/frontends/quic/delivery.py
@@ -38,7 +38,9 @@
         socket. It concerns no datagram.
         """
         length = min(len(self.quote), len(datagram))
-        return length >= min(MIN_QUOTE_BYTES, len(datagram)) and self.quote[:length] == datagram[:length]
+        if not length or length < min(MIN_QUOTE_BYTES, len(datagram)):
+            return False
+        return self.quote[:length] == datagram[:length]
 
 
 class DatagramRole(Enum):
--- a/tests/test_quic_delivery.py
+++ b/tests/test_quic_delivery.py
@@ -88,6 +88,24 @@
     assert sent().evidence_of(DeliveryFailure(FailureReason.PORT_CLOSED, quote[:520])) is AttemptEvidence.NONE
 
 
+def test_report_concerns_no_datagram_before_the_first_one():
+    """Guards against a late report about an attempt ending its session, whose client has sent nothing since."""
+    assert not closed(PARTS[0]).concerns(b"") and not closed(b"").concerns(b"")
+    assert closed(b"short").concerns(b"short") and not closed(b"shor").concerns(b"short")
+
+
+def test_late_report_about_an_attempt_does_not_end_the_session_that_it_established(create_testbed):
+    testbed = create_testbed(modes=(ServerMode.OK,))
+    client = testbed.client()
+    engine = testbed.frontend.engine
+    testbed.wait(lambda: [session for session in engine.sessions.by_id.values() if session.path], "the session")
+    (session,) = engine.sessions.by_id.values()
+    path = session.path
+    engine.handle_delivery_failure(path.slot, path.server_address, closed(client.sent_datagrams[0]))
+    testbed.wait(lambda: client.handshake_complete, "the handshake")
+    assert testbed.request(client) == "s-0"
+
+
 def test_many_repeats_are_recorded_within_a_bound_and_leave_the_attempt_unproven():
     datagrams = sent(repeats=len(REPEATS))
     assert len(datagrams._repeats) == MAX_RECORDED_REPEATS and datagrams.count == 2 + len(REPEATS)
