--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -81,8 +81,9 @@
         source.put(f"runner/s-{FLEET_SIZE + number:08x}", None)
     for bucket in replica.differing_buckets(source.bucket_digests()):
         replica.merge(source.compare_bucket(bucket, replica.version_summary(bucket)).to_send)
-    stored = parse_stored_endpoints(replica.values("runner/"))
-    assert len(stored.update.endpoints) == len(replica.values("balancer/")) == FLEET_SIZE and not stored.errors
+    stored = parse_stored_endpoints(replica.values_and_removals("runner/"))
+    assert len(stored.listed) == len(replica.values("balancer/")) == FLEET_SIZE and not stored.errors
+    assert len(stored.removed) == FLEET_SIZE
     nodes = {f"n{number}": f"127.0.{number // 256}.{number % 256}:7000" for number in range(FLEET_SIZE)}
     settings = parse_store_settings({"enabled": True, "key": "00" * 16, "nodes": nodes})
     assert settings is not None and len(settings.nodes) == FLEET_SIZE
