Conformance: clients of a server whose process has ended get a stateless reset

Need: no case played the end of a server's process under an established session with real sockets, where one report of an undelivered datagram comes to light while the next datagram is sent, and has to quote the latest one.

Change: a case of its own; each client sends several datagrams at once.

--- a/aspensaddle/conformance/cases/ends.py
+++ b/aspensaddle/conformance/cases/ends.py
@@ -200,6 +200,22 @@
     testbed.wait(lambda: all(c.was_reset for c in affected), "resets of its clients", 20.0)
 
 
+@case(
+    "9000-10.3",
+    "When the process of a server has ended, its clients get a stateless reset for what they send next",
+    TestbedSetup(modes=(ServerMode.OK, ServerMode.OK), exclusive=True),
+)
+def server_process_ends(testbed: Testbed) -> None:
+    clients = testbed.connected_clients(4)
+    server_uids = [testbed.request(c) for c in clients]
+    testbed.server(server_uids[0]).close()
+    for c in clients:
+        c.send_request(b"." * 6000)  # several datagrams at once
+    affected = [c for c, uid in zip(clients, server_uids, strict=True) if uid == server_uids[0]]
+    testbed.wait(lambda: all(c.was_reset for c in affected), "resets of its clients", 2.0)
+    testbed.check(sum(c.was_reset for c in clients) == len(affected), "no reset of another client")
+
+
 @case(
     "design", "After a restart without stored sessions, all clients keep their servers", TestbedSetup(exclusive=True)
 )
