Accept queue: 4,096 connections, so a crowd that connects at once waits no second

Cause: 700 clients connect in 20 ms; when the process is held up, more than the backlog of 512 wait, the kernel drops a SYN, and the client sends it again after 1 s.

Change: LISTEN_BACKLOG 4096.

--- a/aspensaddle/support/sockets.py
+++ b/aspensaddle/support/sockets.py
@@ -9,7 +9,7 @@
 
 from aspensaddle.support.address import Address
 
-LISTEN_BACKLOG = 512
+LISTEN_BACKLOG = 4096  # connections; the system's own limit (Linux: net.core.somaxconn) takes precedence
 # Errors of a system that is out of file descriptors or memory.
 DESCRIPTOR_SHORTAGE_ERRNOS = frozenset({errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM})
 
