Shutdown: requests accepted over QUIC get their final answer before the process exits

Cause: the phases of the shutdown asked the line protocol alone whether work is left. Trace: SIGTERM at 2.308 s, exit at 2.829 s, the servers' answers due at 2.9 s reach nobody.

Change: unfinished_requests.py counts QUIC requests without a final answer, and established sessions whose client has not completed the handshake, to the deadline at most. The shutdown stays while there are any, within its phases, and at the end of the answers' phase rejects those left, or fails them where a retry may do harm. shutdown_started has quic_requests.

--- a/aspensaddle/conformance/process_frontend.py
+++ b/aspensaddle/conformance/process_frontend.py
@@ -179,6 +179,11 @@
         """Request a graceful shutdown without waiting for it."""
         self._process.terminate()
 
+    @property
+    def exit_status(self) -> int | None:
+        """The exit status of the process, or None while it runs."""
+        return self._process.poll()
+
     def restart(self) -> None:
         """Kill the process and start it again with the same files and address."""
         self.close()
--- a/aspensaddle/daemon/graceful_shutdown.py
+++ b/aspensaddle/daemon/graceful_shutdown.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -15,6 +16,9 @@
 from aspensaddle.frontends.line_protocol.frontend import LineProtocolFrontend
 from aspensaddle.support.sockets import Listener
 
+if TYPE_CHECKING:  # imported only where an operator's file enables it
+    from aspensaddle.frontends.quic.frontend import QuicFrontend
+
 # The platform kills the process no earlier than the longest deadline, or this limit if the deadline is longer, plus a
 # margin (operators' page PROTOCOL, "Figures").
 MAX_DEADLINE_SECONDS = 3.0
@@ -64,16 +68,22 @@
     """Runs the phases in order; each ends early if nothing is left to do in it."""
 
     def __init__(
-        self, frontend: LineProtocolFrontend, listener: Listener, phases: ShutdownPhases, nursery: trio.Nursery
+        self,
+        frontend: LineProtocolFrontend,
+        quic: QuicFrontend | None,
+        listener: Listener,
+        phases: ShutdownPhases,
+        nursery: trio.Nursery,
     ) -> None:
         self._frontend = frontend
+        self._quic = quic
         self._listener = listener
         self._phases = phases
         self._nursery = nursery
         self._start = 0.0
 
     async def run(self) -> None:
-        """Shut the front end down, with the phases counted from now."""
+        """Shut the front ends down, with the phases counted from now."""
         self._start = trio.current_time()
         await self._reject_new_requests()
         await self._migrate_connections()
@@ -91,6 +101,8 @@
     async def _reject_new_requests(self) -> None:
         """Reject new requests. Accepted ones continue; no attempt starts too late for its response."""
         self._frontend.accepting_requests = False
+        if self._quic is not None:
+            self._quic.shutting_down = True
         self._frontend.driver.stop_attempts_after(self._time_left(self._phases.answer_deadline))
         await self._sleep_until(self._phases.migration_start)
 
@@ -102,7 +114,7 @@
         span = max(POLL_INTERVAL_SECONDS, min(MIGRATION_SPREAD_SECONDS, time_left - 2 * POLL_INTERVAL_SECONDS))
         connections = list(self._frontend.open_connections.values())
         migrated = 0
-        while self._frontend.unfinished_connections and self._time_left(self._phases.answer_deadline) > 0:
+        while self._has_unfinished_work() and self._time_left(self._phases.answer_deadline) > 0:
             progress = (trio.current_time() - started_at) / span
             due = min(len(connections), 1 + int(len(connections) * progress))
             for connection in connections[migrated:due]:
@@ -110,11 +122,19 @@
             migrated = due
             await self._sleep_until(self._phases.answer_deadline, at_most=POLL_INTERVAL_SECONDS)
 
+    def _has_unfinished_work(self) -> bool:
+        return bool(self._frontend.unfinished_connections or self._has_unfinished_quic_requests())
+
+    def _has_unfinished_quic_requests(self) -> bool:
+        return self._quic is not None and self._quic.unfinished_requests > 0
+
     def _finish_remaining_work(self) -> None:
         """Migrate the remaining connections and send a response to the remaining requests, all at once."""
         for connection in list(self._frontend.open_connections.values()):
             connection.migrate()
         self._frontend.reject_pending_requests()
+        if self._quic is not None:
+            self._quic.reject_pending_requests()
         self._frontend.slots.evict_all_waiting()
 
     async def _drain_accept_queue(self) -> None:
@@ -130,7 +150,9 @@
     async def _close_connections(self) -> None:
         """Let clients read their response, then abort lingering closes and wait for their tasks to end."""
         slots = self._frontend.slots
-        while slots.open and self._time_left(self._phases.close_deadline) > 0:
+        while (slots.open or self._has_unfinished_quic_requests()) and self._time_left(
+            self._phases.close_deadline
+        ) > 0:
             await self._sleep_until(self._phases.close_deadline, at_most=POLL_INTERVAL_SECONDS)
         slots.abort_all_lingering()
         while slots.count(ConnectionStage.LINGERING):
@@ -138,10 +160,19 @@
 
 
 async def shut_down(
-    frontend: LineProtocolFrontend, listener: Listener, phases: ShutdownPhases, nursery: trio.Nursery
+    frontend: LineProtocolFrontend,
+    listener: Listener,
+    phases: ShutdownPhases,
+    nursery: trio.Nursery,
+    quic: QuicFrontend | None = None,
 ) -> None:
-    """Shut the front end down, with the phases counted from now.
-
-    Connections that are accepted meanwhile are served in `nursery`.
+    """Shut the front ends down, with the phases counted from now.
+
+    Args:
+        frontend: The line protocol front end.
+        listener: Its listener.
+        phases: The times of the shutdown.
+        nursery: Serves connections that are accepted meanwhile.
+        quic: The QUIC front end, if there is one.
     """
-    await GracefulShutdown(frontend, listener, phases, nursery).run()
+    await GracefulShutdown(frontend, quic, listener, phases, nursery).run()
--- a/aspensaddle/daemon/service.py
+++ b/aspensaddle/daemon/service.py
@@ -181,18 +181,17 @@
     async def _shut_down(self, listener: Listener) -> None:
         """Shut down within the time before the platform kills the process."""
         assert self._nursery is not None
-        if self._quic is not None:
-            self._quic.shutting_down = True
         lag = self._frontend.event_loop_lag.recent(trio.current_time())
         phases = ShutdownPhases.from_settings(self._config.settings, lag)
         self._log.event(
             "shutdown_started",
             connections=len(self._frontend.open_connections),
             requests=len(self._frontend.pending_requests),
+            quic_requests=0 if self._quic is None else self._quic.unfinished_requests,
             phases=asdict(phases),
         )
         try:
-            await shut_down(self._frontend, listener, phases, self._nursery)
+            await shut_down(self._frontend, listener, phases, self._nursery, self._quic)
         except Exception as error:
             self._supervisor.record(error)
         self._nursery.cancel_scope.cancel()
--- a/aspensaddle/frontends/quic/engine.py
+++ b/aspensaddle/frontends/quic/engine.py
@@ -34,6 +34,7 @@
 from aspensaddle.frontends.quic.session_sweep import SessionSweep
 from aspensaddle.frontends.quic.session_table import SessionTable
 from aspensaddle.frontends.quic.settings import QuicSettings
+from aspensaddle.frontends.quic.unfinished_requests import UnfinishedRequests
 from aspensaddle.support.counters import Counters
 from aspensaddle.support.log import Log
 
@@ -75,6 +76,7 @@
         self.responder = Responder(self.context)
         self.sessions = SessionTable(self.context, self.paths, self.responder)
         self.session_setup = SessionSetup(self.context, self.sessions, self.paths, self.responder)
+        self.unfinished_requests = UnfinishedRequests(self.context, self.sessions, self.session_setup)
         self._session_sweep = SessionSweep(self.context, self.sessions, self.paths)
         self._initial_admission = InitialAdmission(self.context, self.sessions, self.responder)
         self._early_zero_rtt: ExpiringMap[list[bytes]] = ExpiringMap(MAX_EARLY_ZERO_RTT_CIDS, EARLY_ZERO_RTT_SECONDS)
@@ -112,9 +114,11 @@
         dcid = data[1 : 1 + length]
         session = sessions.by_server_cid.get(dcid)
         if session is not None:
+            session.handshake_deadline = 0.0  # a client sends 1-RTT packets once its handshake is complete
             sessions.forward_to_server(session, data, client_address, dcid)
-        elif client_address in sessions.by_address:
-            sessions.forward_to_server(sessions.by_address[client_address], data, client_address)
+        elif (session := sessions.by_address.get(client_address)) is not None:
+            session.handshake_deadline = 0.0
+            sessions.forward_to_server(session, data, client_address)
         elif 0 < length <= len(data) - 1:
             self._route_by_server_id(data, client_address, dcid)
         else:
--- a/aspensaddle/frontends/quic/frontend.py
+++ b/aspensaddle/frontends/quic/frontend.py
@@ -63,6 +63,17 @@
     def shutting_down(self, value: bool) -> None:
         self.engine.context.shutting_down = value
 
+    @property
+    def unfinished_requests(self) -> int:
+        """Number of requests whose clients may still wait for a final answer."""
+        self.engine.context.now = trio.current_time()
+        return self.engine.unfinished_requests.count()
+
+    def reject_pending_requests(self) -> None:
+        """Give the final answer to every request without one, for the shutdown."""
+        self.engine.context.now = trio.current_time()
+        self.engine.unfinished_requests.reject_pending()
+
     def configure(self, settings: QuicSettings) -> list[str]:
         """Use other settings from now on; return the names of changed settings that need a restart."""
         needs_restart = [name for name in FIXED if getattr(settings, name) != getattr(self.settings, name)]
--- a/aspensaddle/frontends/quic/session.py
+++ b/aspensaddle/frontends/quic/session.py
@@ -131,6 +131,8 @@
     last_client_datagram_at: float | None = None
     last_server_datagram_at: float | None = None
     server_has_replied: bool = False  # since this process established or adopted the session
+    # When the client stops waiting for its handshake, in seconds of the context's clock; 0 once it is complete.
+    handshake_deadline: float = 0.0
     migrating: bool = False
     routed_by_address: bool = False  # whether the client's address identifies it too, as its CIDs are not routable
     ended: bool = False
--- a/aspensaddle/frontends/quic/session_setup.py
+++ b/aspensaddle/frontends/quic/session_setup.py
@@ -285,6 +285,7 @@
         context.counters.add("quic placed")
         self._finish(session, setup, placed=True)
         session.server, session.path, session.setup = path.server, path, None
+        session.handshake_deadline = setup.started_at + context.driver.settings.classes[setup.class_index].deadline
         session.last_active_at = session.last_server_datagram_at = path.last_used_at = context.now
         if path.amplification_limit is not None:
             path.amplification_limit.validating_cid = scid
