QUIC: ids of sessions have a space, so no request of the line protocol can have one

A line client that uses such an id takes the session's place, and the QUIC client gets no answer. Played here with quic-1 to quic-4: [True, True, True, False] answered. The shutdown's answer to open QUIC requests goes by the same id, so it could have rejected a line request instead.

Change: the id is "quic N"; a line's words are printable characters without spaces.

Measured: the new test fails before, "DID NOT RAISE InvalidOpenError"; the play gives [True, True, True, True].

--- a/aspensaddle/frontends/quic/session_table.py
+++ b/aspensaddle/frontends/quic/session_table.py
@@ -28,6 +28,8 @@
     SessionEnd,
 )
 
+# The driver has the requests of all front ends. No request id of the line protocol contains a space.
+SESSION_ID_PREFIX = "quic "
 MAX_SESSION_CIDS = 8  # limit of the remembered connection IDs of a session, the latest ones
 RESET_MEMORY_SECONDS = 30.0  # time for which packets to a reset session's connection IDs get a stateless reset
 SHORT_QUARANTINE_SECONDS = 0.25  # quarantine of a path on which the server never sent anything
@@ -74,7 +76,9 @@
     def create(self) -> Session:
         """Add a session that is not established yet."""
         self._created_count += 1
-        session = Session(f"quic-{self._created_count}", self.pending_actions, last_active_at=self.context.now)
+        session = Session(
+            f"{SESSION_ID_PREFIX}{self._created_count}", self.pending_actions, last_active_at=self.context.now
+        )
         self.by_id[session.id] = session
         return session
 
--- a/tests/test_quic_engine.py
+++ b/tests/test_quic_engine.py
@@ -6,6 +6,7 @@
 from tempfile import TemporaryDirectory
 
 import hypothesis
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -23,9 +24,21 @@
 from aspensaddle.conformance.testbed import Testbed, TestbedSetup
 from aspensaddle.core.actions import Migrate
 from aspensaddle.core.events import Endpoint, EndpointUpdateScope, Outcome, ServerState
+from aspensaddle.frontends.line_protocol.errors import InvalidOpenError
+from aspensaddle.frontends.line_protocol.open_request import parse_open
 from aspensaddle.frontends.quic.initial import CONNECTION_REFUSED
 
 
+def test_request_of_the_line_protocol_cannot_have_the_id_of_a_session(create_testbed):
+    """Guards against clients without an answer, because a request of the other front end had their id."""
+    testbed = create_testbed()
+    clients = testbed.connected_clients(4)
+    for session_id in testbed.frontend.engine.sessions.by_id:
+        with pytest.raises(InvalidOpenError):
+            parse_open(b"OPEN %s 7f3a9c21e0b4d655 c=test-run,d=900\r\n" % session_id.encode(), {"test-run": 0}, True)
+    assert [client.handshake_complete for client in clients] == [True] * 4
+
+
 def test_server_that_drains_between_decision_and_attempt_receives_no_initial(create_testbed):
     testbed = create_testbed(modes=(ServerMode.OK, ServerMode.OK))
     driver, original_submit, drained = testbed.frontend.driver, testbed.frontend.driver.submit, []
