--- a/review/support2/store.py
+++ b/review/support2/store.py
@@ -1,95 +1,73 @@
-"""The project's replicated store, for the cases that use it: its settings, its command and its daemons."""
+"""The project's replicated store: its settings, and an operator's program that writes and reads it.
+
+The program uses the project's own replica, as the command `python -m aspensaddle.store` does, for many keys at once.
+"""
 
 from __future__ import annotations
 
-import contextlib
-import json
-import socket
-import subprocess
-from pathlib import Path
+import sys
 
 import rig
+import trio
+
+sys.path.insert(0, str(rig.ROOT))
+
+from aspensaddle.store.replica import Replica
+from aspensaddle.store.settings import StoreSettings
+from aspensaddle.support.counters import Counters
 
-DAEMONS = 3  # GROWTH: three instances on loopback
 KEY = "8c1f30d27a5be9648c1f30d27a5be964"
+SYNCHRONIZATION_SECONDS = 25.0
+WRITES_AT_ONCE = 20  # then a short pause, so that no datagram is lost in a full receive buffer
+PAUSE = 0.02
 
+Nodes = dict[str, str]
 
-def store_toml(nodes: dict[str, str]) -> str:
+
+def store_toml(nodes: Nodes) -> str:
     """Return the settings of a store with these nodes."""
-    lines = ["enabled = true", "runners = true", f'key = "{KEY}"', "[nodes]"]
+    lines = ["enabled = true", f'key = "{KEY}"', "[nodes]"]
     return "\n".join([*lines, *(f'{node} = "{address}"' for node, address in nodes.items())]) + "\n"
 
 
-class StoreFleet:
-    """Three daemons whose list is in their store, and the operator's command.
+def write_all(nodes: Nodes, values: dict[str, str]) -> None:
+    """Write these values, and wait until every daemon has acknowledged that it holds them all.
 
-    Attributes:
-        clients: The clients of each daemon.
+    Raises:
+        CannotRunError: One did not in time.
     """
+    trio.run(_run, nodes, values)
+
+
+def read_all(nodes: Nodes) -> dict[str, str]:
+    """Return what these daemons hold, once the reader holds the same.
+
+    Raises:
+        CannotRunError: That did not happen in time.
+    """
+    entries: dict[str, str] = trio.run(_run, nodes, {})
+    return entries
+
+
+async def _run(nodes: Nodes, values: dict[str, str]) -> dict[str, str]:
+    addresses = {node: (rig.HOST, int(address.rpartition(":")[2])) for node, address in nodes.items()}
+    replica = Replica("operator", StoreSettings(bytes.fromhex(KEY), addresses), Counters())
+    replica.bind((rig.HOST, 0))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(replica.run)
+        with trio.move_on_after(SYNCHRONIZATION_SECONDS) as limit:
+            await _synchronize(replica, nodes)
+            for number, (key, value) in enumerate(values.items()):
+                replica.put(key, value)
+                if number % WRITES_AT_ONCE == 0:
+                    await trio.sleep(PAUSE)
+            await _synchronize(replica, nodes)
+        nursery.cancel_scope.cancel()
+    if limit.cancelled_caught:
+        raise rig.CannotRunError("the daemons did not come to hold the same entries in time")
+    return replica.state.values("")
+
 
-    def __init__(
-        self,
-        record: rig.Record,
-        folder: Path,
-        stack: contextlib.ExitStack,
-        runners: list[rig.Runner],
-        discovery: rig.Discovery | None,
-    ) -> None:
-        self.record, self._folder = record, folder
-        self._nodes = {f"n{number}": f"{rig.HOST}:{rig.free_port(socket.SOCK_DGRAM)}" for number in range(DAEMONS)}
-        known = rig.RunnerList(runners).known()
-        mode = "pushed" if discovery is None else "on_request"
-        settings = {**rig.SETTINGS, "discovery": mode, "fleet-size": DAEMONS}
-        address = {} if discovery is None else {"discovery": discovery.address}
-        self.clients: list[rig.Clients] = []
-        for node in self._nodes:
-            toml = store_toml(self._nodes)
-            balancer = rig.Balancer(record, folder / node, node, toml, settings=settings, known=known, **address)
-            stack.callback(balancer.close)
-            balancer.start()
-            self.clients.append(rig.Clients(record, balancer.address))
-            (folder / f"{node}.toml").write_text(store_toml({node: self._nodes[node]}))
-        (folder / "all.toml").write_text(store_toml(self._nodes))
-        for runner in runners:
-            self.put(runner)
-
-    def put(self, runner: rig.Runner) -> None:
-        """Write the entry of a runner, as it is now."""
-        self.command("all", "put", f"runner/{runner.uid}", json.dumps(runner.entry()))
-
-    def remove(self, runner: rig.Runner) -> None:
-        """Remove the entry of a runner."""
-        self.command("all", "remove", f"runner/{runner.uid}")
-
-    def held_states(self, runner: rig.Runner) -> list[str]:
-        """Ask each daemon alone for the entry of a runner; return the states, "none" where there is no entry."""
-        states = []
-        for node in self._nodes:
-            held = self.command(node, "get", f"runner/{runner.uid}", may_fail=True)
-            states.append(json.loads(held)["state"] if held else "none")
-        return states
-
-    def command(self, store: str, *arguments: str, may_fail: bool = False) -> str:
-        """Run the project's store command and return what it prints.
-
-        Raises:
-            CannotRunError: It failed.
-        """
-        done = subprocess.run(
-            [
-                str(rig.ROOT / ".venv/bin/python"),
-                "-m",
-                "aspensaddle.store",
-                f"{self._folder}/{store}.toml",
-                *arguments,
-            ],
-            cwd=rig.ROOT,
-            capture_output=True,
-            text=True,
-            timeout=20,
-            check=False,
-        )
-        self.record(f"store {store}: {' '.join(arguments[:2])}: exit {done.returncode} {done.stdout.strip()}")
-        if done.returncode and not may_fail:
-            raise rig.CannotRunError(done.stderr)
-        return done.stdout
+async def _synchronize(replica: Replica, nodes: Nodes) -> None:
+    while replica.synchronized_peers != set(nodes):
+        await trio.sleep(0.01)
