--- a/review/support2/rig.py
+++ b/review/support2/rig.py
@@ -412,6 +412,10 @@
 WATCH_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
+REJECTION = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+CALL_TIMEOUT = 3.0  # site file latihan-jawa: timeout_ms = 3000
+
+
 class RunnerList:
     """The list that discovery has, and its versions."""
 
@@ -489,7 +493,10 @@
 
 
 class TurnDiscovery(Server):
-    """Discovery that works through calls in turn, and at first through the calls of other balancers."""
+    """Discovery that works through calls in turn, and at first through the calls of other balancers.
+
+    A call that has waited too long ends with 503 (PROTOCOL, "Discovery") and takes no turn.
+    """
 
     def __init__(self, record: Record, runner_list: RunnerList, per_second: float) -> None:
         self.record, self.list, self._per_second = record, runner_list, per_second
@@ -498,18 +505,26 @@
         super().__init__()
 
     def crowd(self, calls: int) -> None:
-        """Let other balancers make this number of calls now."""
+        """Let other balancers make this number of calls now, and again until each is served."""
         with self._lock:
             self._idle_at = max(self._idle_at, time.monotonic()) + calls / self._per_second
         self.record(f"discovery: {calls} other balancers call")
 
     def serve(self, link: socket.socket) -> None:
-        """Let one call wait for its turn, and serve it. A caller that has gone has had its turn all the same."""
+        """Let one call wait for its turn, and serve it or end it with 503."""
         if not read_call(link):
             return
         now = time.monotonic()
         with self._lock:
-            self._idle_at = turn_at = max(self._idle_at, now) + 1 / self._per_second
-        self.record(f"discovery: a call of the balancer, its turn is in {turn_at - now:.2f} s")
+            turn_at = max(self._idle_at, now) + 1 / self._per_second
+            is_served = turn_at <= now + CALL_TIMEOUT
+            if is_served:
+                self._idle_at = turn_at
+        self.record(f"discovery: a call of the balancer, the others are served in {turn_at - now:.2f} s")
+        if not is_served:
+            time.sleep(CALL_TIMEOUT)
+            self.record("discovery: the balancer's call has waited too long: 503")
+            link.sendall(REJECTION)
+            return
         sleep_until(turn_at)
         follow(link, self.list, lambda: self.record("discovery: a line to the balancer"))
