QUIC: the log tells on which path a datagram was held back

Sending to clients stands in one place now (client_delivery.py), which session_setup.py and session_table.py had each. No behaviour changes.

Ruled out: datagrams held back on an older path (current is true in all), and sessions split over two entries (one id each).

--- a/aspensaddle/frontends/quic/engine.py
+++ b/aspensaddle/frontends/quic/engine.py
@@ -12,6 +12,7 @@
 
 from aspensaddle.core.driver import Driver
 from aspensaddle.discovery.endpoint_registry import EndpointRegistry
+from aspensaddle.frontends.quic.client_delivery import ClientDelivery
 from aspensaddle.frontends.quic.connection_id_directory import ConnectionIdDirectory, ConnectionIdKind
 from aspensaddle.frontends.quic.context import Context, Transport
 from aspensaddle.frontends.quic.delivery import DeliveryFailure
@@ -74,7 +75,7 @@
         self.context = Context(settings, directory, driver, endpoints, counters, log, transport, unix_time, now)
         self.paths = PathTable(self.context)
         self.responder = Responder(self.context)
-        self.sessions = SessionTable(self.context, self.paths, self.responder)
+        self.sessions = SessionTable(self.context, self.paths, self.responder, ClientDelivery(self.context))
         self.session_setup = SessionSetup(self.context, self.sessions, self.paths, self.responder)
         self.unfinished_requests = UnfinishedRequests(self.context, self.sessions, self.session_setup)
         self._session_sweep = SessionSweep(self.context, self.sessions, self.paths)
--- a/aspensaddle/frontends/quic/path_table.py
+++ b/aspensaddle/frontends/quic/path_table.py
@@ -54,7 +54,8 @@
         if slot is None:
             self.context.counters.add("quic out of paths")
             return None
-        path = Path(session, client_address, server, server_address, slot, self.context.now)
+        now = self.context.now
+        path = Path(session, client_address, server, server_address, slot, last_used_at=now, opened_at=now)
         self._by_server_address.setdefault(server_address, OrderedDict())[slot] = path
         self._by_client[client_address, server] = path
         self.count += 1
--- a/aspensaddle/frontends/quic/session.py
+++ b/aspensaddle/frontends/quic/session.py
@@ -79,7 +79,10 @@
     last_datagram_start: bytes = b""  # its start, to recognize a report that it was not delivered
     # None when the client's address is validated
     amplification_limit: AmplificationLimit | None = field(default_factory=AmplificationLimit)
+    opened_at: float = 0.0  # in seconds of the context's clock
+    bytes_from_client: int = 0
     bytes_from_server: int = 0
+    bytes_to_client: int = 0  # those of the server that were passed on
     is_confirmed: bool = False  # whether the server has sent enough to show that it has the session at this address
     unanswered: UnansweredDatagrams = field(default_factory=UnansweredDatagrams)
 
--- a/aspensaddle/frontends/quic/session_setup.py
+++ b/aspensaddle/frontends/quic/session_setup.py
@@ -285,7 +285,7 @@
         self.sessions.by_client_cid.put(setup.dcid, None, self.context.now)
         setup.dcid, setup.flight = dcid, Flight(dcid)
         self.sessions.by_client_cid.put(dcid, session, self.context.now)
-        self._send_to_client(path, data)
+        self.sessions.delivery.deliver(path, data)
 
     def _establish(self, session: Session, setup: SetupState, path: Path, scid: bytes) -> None:
         """Establish the session: the server has accepted it and uses the connection ID `scid`."""
@@ -310,20 +310,13 @@
             self.sessions.add_cid(session, scid)
             self.sessions.by_address[path.client_address] = session
         for data in setup.early_replies:
-            self.sessions.count_bytes_from_server(session, path, len(data))
-            self._send_to_client(path, data)
+            self.sessions.deliver(session, path, data)
         # Further packets to the client-chosen connection ID belong to the session.
         self.sessions.by_client_cid.put(setup.dcid, session, context.now)
         context.driver.connection_established(session.id)
         if session.migrating:
             self.sessions.migrate(session)
 
-    def _send_to_client(self, path: Path, data: bytes) -> None:
-        if path.amplification_limit is not None and not path.amplification_limit.try_consume(len(data)):
-            self.context.counters.add("quic over three times")
-            return
-        self.context.transport.send_to_client(data, path.client_address)
-
     def handle_delivery_failure(
         self, session: Session, setup: SetupState, path: Path, failure: DeliveryFailure
     ) -> None:
--- a/aspensaddle/frontends/quic/session_table.py
+++ b/aspensaddle/frontends/quic/session_table.py
@@ -10,6 +10,7 @@
 
 from aspensaddle.core.actions import RequestAction
 from aspensaddle.core.events import Outcome, Request
+from aspensaddle.frontends.quic.client_delivery import ClientDelivery
 from aspensaddle.frontends.quic.context import Context
 from aspensaddle.frontends.quic.delivery import MIN_QUOTE_BYTES, DeliveryFailure, FailureReason
 from aspensaddle.frontends.quic.departure_evidence import DepartureEvidence
@@ -38,9 +39,9 @@
 class SessionTable:
     """All sessions, and the life of those that are established."""
 
-    def __init__(self, context: Context, paths: PathTable, responder: Responder) -> None:
+    def __init__(self, context: Context, paths: PathTable, responder: Responder, delivery: ClientDelivery) -> None:
         """Start without sessions."""
-        self.context, self.paths, self.responder = context, paths, responder
+        self.context, self.paths, self.responder, self.delivery = context, paths, responder, delivery
         self.by_id: dict[str, Session] = {}
         self.pending_actions: list[tuple[Session, RequestAction]] = []
         # The session of each client-chosen connection ID; None if its final response was sent.
@@ -139,6 +140,7 @@
         now = self.context.now
         session.last_active_at = session.last_client_datagram_at = path.last_used_at = now
         path.unanswered.record(now, self.server_activity.last_heard_at(session.server))
+        path.bytes_from_client += len(data)
         path.last_datagram_bytes = len(data)
         path.last_datagram_start = data[:MIN_QUOTE_BYTES]
         if dcid:
@@ -186,15 +188,11 @@
         """Forward a server's datagram to the client of an established session."""
         session.last_active_at = session.last_server_datagram_at = path.last_used_at = self.context.now
         session.server_has_replied = True
-        self.count_bytes_from_server(session, path, len(data))
-        if path.amplification_limit is not None and not path.amplification_limit.try_consume(len(data)):
-            self.context.counters.add("quic over three times")
-            return
-        self.context.transport.send_to_client(data, path.client_address)
+        self.deliver(session, path, data)
 
-    def count_bytes_from_server(self, session: Session, path: Path, size: int) -> None:
-        """Count bytes from the server of an established session, which is confirmed by enough of them on one path."""
-        path.bytes_from_server += size
+    def deliver(self, session: Session, path: Path, data: bytes) -> None:
+        """Deliver a datagram of an established session. Enough bytes of its server on a path confirm it."""
+        self.delivery.deliver(path, data)
         if not path.is_confirmed and path.bytes_from_server > CONFIRMING_BYTES:
             path.is_confirmed, session.confirmed_address = True, path.client_address
             self._unconfirmed.pop(session.id, None)
