QUIC: results reach a client at a new address, within a window that grows with its replies

Cause: an address counted as validated by three replies, or by a full-size datagram after a full-size one; what was over three times its bytes was dropped until then.

Change: an address has a window until its next datagram. Before a reply that is three times its bytes, 3,600 at least, and 3,600 more after pauses that double; then 58,880, 235,520 and 1 MiB. What is over it is held back in its order and sent at the reply, within bounds of memory. So a reply can always come, and it opens the window. An address that never replies stays bounded, also where a server keeps no limit (docs/quic.md; both sides are tested).

--- a/aspensaddle/conformance/memory_frontend.py
+++ b/aspensaddle/conformance/memory_frontend.py
@@ -61,6 +61,7 @@
             address: where clients send datagrams; the network chooses it if it is None.
         """
         self.net, self.folder, self._deadline, self._seed = net, folder, deadline, seed
+        self.first_socket_port = 1  # towards the servers; a test that changes it restarts on other ports
         folder.mkdir(parents=True, exist_ok=True)
         self.link_in, self.link_out = Link(), Link()
         for file, content in (files or {}).items():
@@ -136,7 +137,7 @@
         return True
 
     def _slot_address(self, slot: int) -> Address:
-        return (f"127.1.{self.address[1] // 256}.{self.address[1] % 256}", 1 + slot)
+        return (f"127.1.{self.address[1] // 256}.{self.address[1] % 256}", self.first_socket_port + slot)
 
     def handle_datagram(self, data: bytes, source: Address) -> None:
         """Handle a datagram from a client."""
--- a/aspensaddle/conformance/quic_server.py
+++ b/aspensaddle/conformance/quic_server.py
@@ -91,7 +91,13 @@
 
 
 class QuicServer:
-    """A server behind the balancer. It responds on each stream with its uid and the data of the request."""
+    """A server behind the balancer. It responds on each stream with its uid and the data of the request.
+
+    Attributes:
+        result_bytes: How many bytes of a result precede each response.
+        limits_addresses: Whether the server limits what it sends to an address that it has not validated (RFC 9000,
+            9.3.1). Without it, every address of a client counts as validated.
+    """
 
     def __init__(
         self,
@@ -119,6 +125,7 @@
         self.server_id = b""
         self.versions: tuple[int, ...] = (V1, V2)
         self.issue: Callable[[], bytes] = lambda: self.id_format.encode(self.server_id)
+        self.result_bytes, self.limits_addresses = 0, True
         self.link_in, self.link_out = Link(), Link()
         self.address: Address = ("", 0)
         self.records = ServerRecords()
@@ -250,9 +257,13 @@
             if isinstance(event, events.StreamDataReceived) and event.end_stream:
                 self.records.requests.append(event.data)
                 self.records.early_requests += not connection._handshake_complete
-                connection.send_stream_data(event.stream_id, self.uid.encode() + b" " + event.data, True)
+                response = bytes(self.result_bytes) + self.uid.encode() + b" " + event.data
+                connection.send_stream_data(event.stream_id, response, True)
             elif isinstance(event, events.ConnectionTerminated) and connection in self._connections:
                 self._connections.remove(connection)
+        if not self.limits_addresses:
+            for network_path in connection._network_paths:
+                network_path.is_validated = True
         for data, peer in connection.datagrams_to_send(self.net.now()):
             for _ in range(
                 AMPLIFIED_COPIES
--- a/aspensaddle/frontends/quic/engine.py
+++ b/aspensaddle/frontends/quic/engine.py
@@ -73,9 +73,10 @@
         """
         directory = ConnectionIdDirectory(settings.ids, settings.unroutable_length)
         self.context = Context(settings, directory, driver, endpoints, counters, log, transport, unix_time, now)
-        self.paths = PathTable(self.context)
+        self.delivery = ClientDelivery(self.context)
+        self.paths = PathTable(self.context, self.delivery)
         self.responder = Responder(self.context)
-        self.sessions = SessionTable(self.context, self.paths, self.responder, ClientDelivery(self.context))
+        self.sessions = SessionTable(self.context, self.paths, self.responder, self.delivery)
         self.session_setup = SessionSetup(self.context, self.sessions, self.paths, self.responder)
         self.unfinished_requests = UnfinishedRequests(self.context, self.sessions, self.session_setup)
         self._session_sweep = SessionSweep(self.context, self.sessions, self.paths)
@@ -287,6 +288,7 @@
     def sweep(self) -> None:
         """Check a part of the sessions, and end those that are idle or have lost their server."""
         self._session_sweep.run()
+        self.delivery.release_due()
         self.session_setup.carry_out_actions()
 
     def next_timer(self) -> float | None:
--- a/aspensaddle/frontends/quic/path_table.py
+++ b/aspensaddle/frontends/quic/path_table.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 
+from aspensaddle.frontends.quic.client_delivery import ClientDelivery
 from aspensaddle.frontends.quic.context import Context
 from aspensaddle.frontends.quic.session import ClientAddress, Path, ServerAddress, Session
 from aspensaddle.frontends.quic.socket_slots import SocketSlots
@@ -17,9 +18,9 @@
 class PathTable:
     """The open paths of all sessions, and the socket slots that they use."""
 
-    def __init__(self, context: Context) -> None:
-        """Start without paths."""
-        self.context = context
+    def __init__(self, context: Context, delivery: ClientDelivery) -> None:
+        """Start without paths. `delivery` drops what it holds back on a path that is closed."""
+        self.context, self._delivery = context, delivery
         self.count = 0
         self._slots: SocketSlots[ServerAddress] = SocketSlots(context.settings.most_sockets, SLOT_QUARANTINE_SECONDS)
         # Paths by server address and slot; those opened or examined for eviction longest ago come first.
@@ -103,6 +104,7 @@
             return False
         del table[path.slot]
         self.count -= 1
+        self._delivery.discard(path)
         if not table:
             del self._by_server_address[path.server_address]
         session = path.session
--- a/aspensaddle/frontends/quic/session.py
+++ b/aspensaddle/frontends/quic/session.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 from aspensaddle.core.actions import RequestAction
+from aspensaddle.frontends.quic.address_limits import AddressLimit, HandshakeLimit, ReplyLimit
 from aspensaddle.frontends.quic.delivery import SentDatagrams
 from aspensaddle.frontends.quic.flight import Flight
 from aspensaddle.frontends.quic.server_silence import UnansweredDatagrams
@@ -17,47 +18,7 @@
 ClientAddress = tuple[str, int]  # host and port of a client, as the socket reports them
 ServerAddress = tuple[str, int]  # host and port of a server
 
-AMPLIFICATION_FACTOR = 3  # bytes that may be sent per byte received from an unvalidated address (RFC 9000, 8.1)
-PATH_PROBE_BYTES = 1200  # size of a datagram with a PATH_CHALLENGE, and of the response to it (RFC 9000, 8.2.1)
 CONFIRMING_BYTES = 128  # a path is confirmed by more bytes from its server; stateless resets have fewer
-MIN_VALIDATING_ROUND_TRIPS = 3  # responses to sent datagrams after which a client's address counts as validated
-
-
-@dataclass(slots=True)
-class AmplificationLimit:
-    """Limits the bytes sent to an address that is not validated (RFC 9000, 8.1).
-
-    During a handshake, the address is validated by a datagram to the connection ID that the server issued: only a
-    client that received it can use it. The front end cannot decrypt a PATH_RESPONSE, so a later address of a client
-    counts as validated when it has sent a full-size datagram after one was sent to it, as path validation does, or
-    has responded several times. A server can decrypt it and applies its own limit (RFC 9000, 9.3.1); this one takes
-    effect where a server does not.
-    """
-
-    remaining_bytes: int = 0
-    # The connection ID that validates the address; b"" while it is unknown; None if no connection ID does.
-    validating_cid: bytes | None = None
-    probe_sent: bool = False  # whether a full-size datagram was sent to the address
-    sent_since_received: bool = False  # whether a datagram was sent since one was last received
-    round_trips: int = 0
-
-    def record_received(self, size: int, dcid: bytes) -> bool:
-        """Record a datagram of `size` bytes to `dcid`; return whether it validates the address."""
-        self.remaining_bytes += AMPLIFICATION_FACTOR * size
-        if self.validating_cid is not None:
-            return bool(dcid) and dcid == self.validating_cid
-        self.round_trips += self.sent_since_received
-        self.sent_since_received = False
-        return self.round_trips >= MIN_VALIDATING_ROUND_TRIPS or (self.probe_sent and size >= PATH_PROBE_BYTES)
-
-    def try_consume(self, size: int) -> bool:
-        """Record a datagram of `size` bytes to be sent, or return False if it would exceed the limit."""
-        if size > self.remaining_bytes:
-            return False
-        self.remaining_bytes -= size
-        self.sent_since_received = True
-        self.probe_sent |= size >= PATH_PROBE_BYTES
-        return True
 
 
 @dataclass(eq=False, slots=True)
@@ -77,8 +38,9 @@
     dcid: bytes = b""  # the latest routable connection ID that the client used on it
     last_datagram_bytes: int = 0  # size of the client's latest datagram
     last_datagram_start: bytes = b""  # its start, to recognize a report that it was not delivered
-    # None when the client's address is validated
-    amplification_limit: AmplificationLimit | None = field(default_factory=AmplificationLimit)
+    address_limit: AddressLimit | None = field(
+        default_factory=ReplyLimit
+    )  # None: the handshake validated the address
     opened_at: float = 0.0  # in seconds of the context's clock
     bytes_from_client: int = 0
     bytes_from_server: int = 0
@@ -106,7 +68,7 @@
     started_at: float
     original_dcid: bytes  # the connection ID that the client chose first
     client_address: ClientAddress
-    amplification_limit: AmplificationLimit | None = None  # None if a token has validated the address
+    address_limit: HandshakeLimit | None = None  # None if a token has validated the address
     stage: SetupStage = SetupStage.CLIENT_HELLO_INCOMPLETE
     class_index: int = 0
     path: Path | None = None  # the path of the attempt in progress
--- a/aspensaddle/frontends/quic/session_setup.py
+++ b/aspensaddle/frontends/quic/session_setup.py
@@ -11,6 +11,7 @@
 
 from aspensaddle.core.actions import CancelAttempt, Fail, Migrate, Reject, RequestAction, StartAttempt
 from aspensaddle.core.events import Outcome, Request
+from aspensaddle.frontends.quic.address_limits import HandshakeLimit, ReplyLimit
 from aspensaddle.frontends.quic.client_hello import ClientHello, ClientHelloError
 from aspensaddle.frontends.quic.context import Context
 from aspensaddle.frontends.quic.delivery import AttemptEvidence, DeliveryFailure, SentDatagrams
@@ -20,7 +21,6 @@
 from aspensaddle.frontends.quic.path_table import PathTable
 from aspensaddle.frontends.quic.responder import Responder
 from aspensaddle.frontends.quic.session import (
-    AmplificationLimit,
     ClientAddress,
     Path,
     Session,
@@ -77,7 +77,7 @@
             self.context.now,
             original_dcid,
             client_address,
-            None if validated else AmplificationLimit(validating_cid=b""),
+            None if validated else HandshakeLimit(),
         )
         self.pending_count += 1
         self.sessions.by_client_cid.put(packet.dcid, session, self.context.now)
@@ -99,8 +99,8 @@
         """Handle a client's datagram to its client-chosen connection ID during setup."""
         if session.ended:
             return
-        if setup.amplification_limit is not None:
-            setup.amplification_limit.record_received(len(data), b"")
+        if setup.address_limit is not None:
+            setup.address_limit.record_received(len(data), b"")
         try:
             result = setup.flight.add_datagram(data, packets, first_frames)
         except ClientHelloError as error:
@@ -200,7 +200,7 @@
         if setup.path is None or not context.driver.may_start_attempt(session.id):
             self._end_attempt(session, setup, Outcome.NOT_SENT)
             return
-        setup.path.amplification_limit = setup.amplification_limit
+        setup.path.address_limit = setup.address_limit
         for data in setup.flight.datagrams:
             self._send_to_server(setup, setup.path, data)
         if not setup.sent.count:
@@ -296,8 +296,8 @@
         session.server, session.path, session.setup = path.server, path, None
         session.handshake_deadline = setup.started_at + context.driver.settings.classes[setup.class_index].deadline
         session.last_active_at = session.last_server_datagram_at = path.last_used_at = context.now
-        if path.amplification_limit is not None:
-            path.amplification_limit.validating_cid = scid
+        if isinstance(path.address_limit, HandshakeLimit):
+            path.address_limit.validating_cid = scid
         if context.directory.is_routable(scid):
             self.sessions.add_cid(session, scid)
         else:
@@ -305,8 +305,8 @@
             # that is not known here, it is found by its address.
             context.counters.add("quic by address")
             session.routed_by_address = True
-            if path.amplification_limit is not None and not scid:
-                path.amplification_limit.validating_cid = None
+            if path.address_limit is not None and not scid:
+                path.address_limit = ReplyLimit(path.bytes_from_client)  # no connection ID can validate the address
             self.sessions.add_cid(session, scid)
             self.sessions.by_address[path.client_address] = session
         for data in setup.early_replies:
--- a/aspensaddle/frontends/quic/session_table.py
+++ b/aspensaddle/frontends/quic/session_table.py
@@ -145,9 +145,10 @@
         path.last_datagram_start = data[:MIN_QUOTE_BYTES]
         if dcid:
             path.dcid = dcid
-        if path.amplification_limit is not None and path.amplification_limit.record_received(len(data), dcid):
-            path.amplification_limit = None
+        if path.address_limit is not None and path.address_limit.record_received(len(data), dcid):
+            path.address_limit = None
         self.context.transport.send_to_server(data, path)
+        self.delivery.release(path)
         if session.migrating:
             self.migrate(session)
 
