QUIC: a new path takes the place of one that its session does not need

Callers: QUIC clients that change their port in quick succession got results 1.7 s late, and a client that waited for its result did not get it once datagrams with its id had come from four other addresses.

Cause: a fifth path closed the session's oldest other one, also if the server answers there; and without a free socket a new path waited for an idle second of any path, though its own session had left some.

Change: the session closes an earlier path on which the server never sent anything, or else the one silent for longest, and takes its socket if no other is free. So the path of the answer stays, and the client waits for nobody.

--- a/aspensaddle/frontends/quic/client_delivery.py
+++ b/aspensaddle/frontends/quic/client_delivery.py
@@ -36,6 +36,7 @@
     def deliver(self, path: Path, data: bytes) -> None:
         """Send a server's datagram to the client of the path, now or once the limit of its address allows it."""
         path.bytes_from_server += len(data)
+        path.last_server_datagram_at = self._context.now
         if path in self._held:
             self._hold(path, data)
             self.release(path)
--- a/aspensaddle/frontends/quic/path_table.py
+++ b/aspensaddle/frontends/quic/path_table.py
@@ -51,7 +51,9 @@
         server_address = self.address_of(server)
         if server_address is None:
             return None
-        slot = self._take_slot(server_address)
+        if len(session.all_paths()) >= MAX_PATHS_PER_SESSION:
+            self.close(session.least_useful_path())
+        slot = self._take_slot(server_address, session)
         if slot is None:
             self.context.counters.add("quic out of paths")
             return None
@@ -62,11 +64,11 @@
         self.count += 1
         return path
 
-    def _take_slot(self, server_address: ServerAddress) -> int | None:
+    def _take_slot(self, server_address: ServerAddress, session: Session) -> int | None:
         slot = self._slots.acquire(server_address, self.context.now)
-        if slot is None and (evicted := self._find_most_idle(server_address)) is not None:
+        if slot is None and (evicted := self._find_evictable(server_address, session)) is not None:
             # File descriptors are short. The evicted session continues: its next datagram opens a new path. The slot
-            # needs no quarantine, because the server has nothing left to send on an idle path.
+            # needs no quarantine: what the server still sends to it is for the same client, or the path was idle.
             self.context.counters.add("quic paths evicted")
             slot = evicted.slot
             self._unlink(evicted)
@@ -75,6 +77,17 @@
             return None
         return slot
 
+    def _find_evictable(self, server_address: ServerAddress, session: Session) -> Path | None:
+        """Return the path whose slot a new path of the session may take.
+
+        First one that the session's client has left for another, so that the client waits for nobody, and no other
+        session loses what its server sends; then an idle one of another session; at last the session's only one.
+        """
+        own_paths = [path for path in session.all_paths() if path.server_address == server_address]
+        if len(own_paths) > 1:
+            return session.least_useful_path()
+        return self._find_most_idle(server_address) or next(iter(own_paths), None)
+
     def _find_most_idle(self, server_address: ServerAddress) -> Path | None:
         """Return the most idle of the oldest paths, if it may be evicted, and move those paths to the end."""
         table = self._by_server_address.get(server_address, OrderedDict())
--- a/aspensaddle/frontends/quic/session.py
+++ b/aspensaddle/frontends/quic/session.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -42,6 +43,7 @@
         default_factory=ReplyLimit
     )  # None: the handshake validated the address
     opened_at: float = 0.0  # in seconds of the context's clock
+    last_server_datagram_at: float = -math.inf  # time of the latest datagram of the server, in the same seconds
     bytes_from_client: int = 0
     bytes_from_server: int = 0
     bytes_to_client: int = 0  # those of the server that were passed on
@@ -110,6 +112,14 @@
         """Return True: with datagrams, a client that left cannot be distinguished from a silent one."""
         return True
 
+    def least_useful_path(self) -> Path:
+        """Return the path to close for a new one, of a session that has several.
+
+        It is an earlier one on which the server never sent anything, the latest of these, as somebody else may have
+        opened it; or else the earlier one on which the server has been silent for longest.
+        """
+        return min(self.other_paths or (), key=lambda path: (path.last_server_datagram_at, -path.opened_at))
+
     def all_paths(self) -> list[Path]:
         """Return the session's paths, the one in use first."""
         found = [] if self.path is None else [self.path]
--- a/aspensaddle/frontends/quic/session_table.py
+++ b/aspensaddle/frontends/quic/session_table.py
@@ -15,7 +15,7 @@
 from aspensaddle.frontends.quic.delivery import MIN_QUOTE_BYTES, DeliveryFailure, FailureReason
 from aspensaddle.frontends.quic.departure_evidence import DepartureEvidence
 from aspensaddle.frontends.quic.limits import ExpiringMap, FairRateLimiter
-from aspensaddle.frontends.quic.path_table import MAX_PATHS_PER_SESSION, PathTable
+from aspensaddle.frontends.quic.path_table import PathTable
 from aspensaddle.frontends.quic.responder import Responder
 from aspensaddle.frontends.quic.server_silence import ServerActivity
 from aspensaddle.frontends.quic.session import CONFIRMING_BYTES, ClientAddress, Path, Session
@@ -165,8 +165,6 @@
         """Use the path of another address of the client, which is opened if there is none (RFC 9000, 9)."""
         path = next((other for other in session.other_paths or () if other.client_address == client_address), None)
         if path is None:
-            if len(session.all_paths()) >= MAX_PATHS_PER_SESSION:
-                self.paths.close((session.other_paths or [])[0])
             path = self.paths.open(session, session.server, client_address)
             if path is None:
                 return None
--- a/tests/test_quic_paths.py
+++ b/tests/test_quic_paths.py
@@ -94,6 +94,14 @@
     client.rebind()
 
 
+def change_ports_in_quick_succession(results, client, change):
+    for _ in range(6):
+        client.rebind()
+        client.connection.send_ping(change)
+        client.flush()
+        results.testbed.run(0.001)
+
+
 def restart_on_other_ports(results, client, change):
     frontend = results.testbed.frontend
     if client is results.clients[0]:
@@ -113,6 +121,7 @@
     change_to_earlier_port,
     change_balancer,
     change_balancer_and_port,
+    change_ports_in_quick_succession,
     restart_on_other_ports,
     restart_on_same_ports,
 )
@@ -206,6 +215,33 @@
     assert results.late() == []
 
 
+@pytest.mark.parametrize("change", [change_port, change_ports_in_quick_succession])
+@pytest.mark.parametrize("sockets", [4, 8])
+def test_clients_that_change_their_port_share_few_sockets(create_testbed, change, sockets):
+    """Guards against a client that waits until a socket is idle although it has left one itself."""
+    testbed = create_testbed(modes=(ServerMode.OK,), extra_settings=f"most_sockets = {sockets}\n")
+    results = Results(testbed)
+    play(testbed, results, change, 0.2)
+    assert results.late() == [] and not testbed.frontend.counts().get("quic out of paths")
+
+
+def test_result_arrives_although_datagrams_came_from_more_addresses_than_a_session_has_paths(create_testbed):
+    """Guards against datagrams from elsewhere that close the path on which the server is about to answer."""
+    testbed = create_testbed(modes=(ServerMode.OK,))
+    results = Results(testbed, 1)
+    (client,) = results.clients
+    results.await_result(client, b"before")
+    testbed.servers[0].link_out.delay = 0.5
+    client.send_request(b"line")
+    expected, sent_at = received_bytes(client) + RESULT_BYTES, testbed.net.now()
+    testbed.run(0.1)
+    for _ in range(10):
+        raw = testbed.raw_endpoint()
+        raw.send(client.sent_datagrams[-1], testbed.address)  # a datagram that the server has had
+    testbed.wait(lambda: received_bytes(client) >= expected, "the result")
+    assert testbed.net.now() - sent_at <= 0.5 + IN_TIME_SECONDS
+
+
 # What an address that never replies can draw
 
 
