QUIC: an adoption takes the place of an idle session in a full table

Callers: clients that change their id with their port got no result any more once the table was full of what they had left (16 of 32 results with most_sessions = 6, four clients, every 1.5 s).

Cause: a new id from a new address is adopted as another session, the one left stays until idle_s, and a full table refused adoptions (quic over capacity), whatever was idle in it.

--- a/aspensaddle/frontends/quic/session_end.py
+++ b/aspensaddle/frontends/quic/session_end.py
@@ -40,6 +40,7 @@
 )
 IDLE_TIMEOUT = SessionEnd(Outcome.OK, ResetScope.NONE, "idle")  # the regular end of a connection cannot be seen
 MIGRATED = SessionEnd(Outcome.CANCELLED, ResetScope.CONFIRMED_PATHS, "moved")
+EVICTED_IDLE = SessionEnd(Outcome.CANCELLED, ResetScope.NONE, "evicted from a full table while idle")
 EVICTED = SessionEnd(Outcome.CANCELLED, ResetScope.NONE, "evicted before its server confirmed it")
 
 
--- a/aspensaddle/frontends/quic/session_table.py
+++ b/aspensaddle/frontends/quic/session_table.py
@@ -21,6 +21,7 @@
 from aspensaddle.frontends.quic.session import CONFIRMING_BYTES, ClientAddress, Path, Session
 from aspensaddle.frontends.quic.session_end import (
     EVICTED,
+    EVICTED_IDLE,
     MIGRATED,
     SERVER_UNREACHABLE,
     UNREACHABLE_AND_UNCONFIRMED,
@@ -28,6 +29,7 @@
     ResetScope,
     SessionEnd,
 )
+from aspensaddle.frontends.quic.session_eviction import find_most_idle
 
 # The driver has the requests of all front ends. No request id of the line protocol contains a space.
 SESSION_ID_PREFIX = "quic "
@@ -89,8 +91,9 @@
         """Add a session that was established by another balancer, or by this one before a restart.
 
         Until its server has sent enough, the session counts as unconfirmed. The number of those is bounded, and the
-        oldest is evicted, so that forged connection IDs cannot fill the table. Returns None if no session may be
-        added.
+        oldest is evicted, so that forged connection IDs cannot fill the table. In a full table, the place of an idle
+        session is taken: a client that changes its connection ID and its address leaves one behind, as nothing tells
+        that the new one is its. Returns None if no session may be added.
         """
         if not self._adoption_limiter.try_acquire(client_address, self.context.now):
             self.context.counters.add("quic not adopted")
@@ -98,6 +101,8 @@
         while len(self._unconfirmed) >= self.context.settings.most_pending or (self._unconfirmed and self.is_full):
             _, oldest = self._unconfirmed.popitem(last=False)
             self.end(oldest, EVICTED)
+        if self.is_full and (idle := find_most_idle(self.by_id, self.context.now)) is not None:
+            self.end(idle, EVICTED_IDLE)
         if self.is_full:
             self.context.counters.add("quic over capacity")
             return None
--- a/tests/test_quic_paths.py
+++ b/tests/test_quic_paths.py
@@ -338,3 +338,14 @@
     for path in paths:
         testbed.frontend.engine.paths.close(path)
     assert delivery.held_bytes == 0 and results.clients
+
+
+@pytest.mark.parametrize(
+    "limits", ["most_sessions = 6\n", "most_pending = 6\n", "most_sessions = 6\nmost_pending = 4\n"]
+)
+def test_clients_that_change_their_id_get_their_results_in_a_full_table(create_testbed, limits):
+    """Guards against entries of addresses that clients have left, for which their next address is turned away."""
+    testbed = create_testbed(modes=(ServerMode.OK,), extra_settings=limits)
+    results = Results(testbed)
+    play(testbed, results, change_id_and_port, 1.5)
+    assert results.late() == []
