QUIC: more paths than sockets share them instead of taking them from each other

Cause: with all sockets in use a new path took that of a path that was idle for a second. A server answers after any pause; what it sent went to the client that had the socket now.

Change: a path beyond the sockets shares one with paths of other sessions. What the server sends there is told apart by the connection id of the client that it is sent to, from the client's Initial or from two datagrams that begin the same way.

--- a/aspensaddle/conformance/quic_server.py
+++ b/aspensaddle/conformance/quic_server.py
@@ -95,6 +95,7 @@
 
     Attributes:
         result_bytes: How many bytes of a result precede each response.
+        result_seconds: How long it takes until a response is sent.
         limits_addresses: Whether the server limits what it sends to an address that it has not validated (RFC 9000,
             9.3.1). Without it, every address of a client counts as validated.
     """
@@ -125,7 +126,7 @@
         self.server_id = b""
         self.versions: tuple[int, ...] = (V1, V2)
         self.issue: Callable[[], bytes] = lambda: self.id_format.encode(self.server_id)
-        self.result_bytes, self.limits_addresses = 0, True
+        self.result_bytes, self.result_seconds, self.limits_addresses = 0, 0.0, True
         self.link_in, self.link_out = Link(), Link()
         self.address: Address = ("", 0)
         self.records = ServerRecords()
@@ -257,8 +258,7 @@
             if isinstance(event, events.StreamDataReceived) and event.end_stream:
                 self.records.requests.append(event.data)
                 self.records.early_requests += not connection._handshake_complete
-                response = bytes(self.result_bytes) + self.uid.encode() + b" " + event.data
-                connection.send_stream_data(event.stream_id, response, True)
+                self._respond(connection, event.stream_id, event.data)
             elif isinstance(event, events.ConnectionTerminated) and connection in self._connections:
                 self._connections.remove(connection)
         if not self.limits_addresses:
@@ -275,6 +275,18 @@
             self._by_cid[cid] = connection
             self._cid_lengths.add(len(cid))
 
+    def _respond(self, connection: ServerConnection, stream_id: int, request: bytes) -> None:
+        response = bytes(self.result_bytes) + self.uid.encode() + b" " + request
+        if not self.result_seconds:
+            connection.send_stream_data(stream_id, response, True)
+            return
+
+        def send_later() -> None:
+            connection.send_stream_data(stream_id, response, True)
+            self._process_events(connection)
+
+        self.net.call_later(self.result_seconds, send_later)
+
     def _send(self, data: bytes, destination: Address) -> None:
         if self.mode != ServerMode.SILENT:
             self.net.send(self, data, destination)
--- a/aspensaddle/frontends/quic/client_delivery.py
+++ b/aspensaddle/frontends/quic/client_delivery.py
@@ -37,6 +37,7 @@
         """Send a server's datagram to the client of the path, now or once the limit of its address allows it."""
         path.bytes_from_server += len(data)
         path.last_server_datagram_at = self._context.now
+        path.client_cid.record(data)
         if path in self._held:
             self._hold(path, data)
             self.release(path)
--- a/aspensaddle/frontends/quic/engine.py
+++ b/aspensaddle/frontends/quic/engine.py
@@ -253,7 +253,7 @@
 
     def handle_server_datagram(self, data: bytes, slot: int, server_address: ServerAddress) -> None:
         """Route a datagram that arrived on a slot's socket from a server."""
-        path = self.paths.find_path_by_slot(slot, server_address)
+        path = self.paths.find_path_by_slot(slot, server_address, data)
         if path is None:
             self.context.counters.add("quic late returns")  # the attempt or session has ended
             return
@@ -267,14 +267,12 @@
 
     def handle_delivery_failure(self, slot: int, server_address: ServerAddress, failure: DeliveryFailure) -> None:
         """Handle the network's report that a datagram from a slot's socket to a server was not delivered."""
-        path = self.paths.find_path_by_slot(slot, server_address)
-        if path is None:
-            return
-        session = path.session
-        if session.setup is None:
-            self.sessions.handle_delivery_failure(session, path, failure)
-        else:
-            self.session_setup.handle_delivery_failure(session, session.setup, path, failure)
+        for path in list(self.paths.paths_of_slot(slot, server_address)):
+            session = path.session
+            if session.setup is None:
+                self.sessions.handle_delivery_failure(session, path, failure)
+            else:
+                self.session_setup.handle_delivery_failure(session, session.setup, path, failure)
         self.session_setup.carry_out_actions()
 
     # Time
--- a/aspensaddle/frontends/quic/path_table.py
+++ b/aspensaddle/frontends/quic/path_table.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 
+from aspensaddle.frontends.quic.client_cids import ClientConnectionId, destination_prefix
 from aspensaddle.frontends.quic.client_delivery import ClientDelivery
 from aspensaddle.frontends.quic.context import Context
 from aspensaddle.frontends.quic.session import ClientAddress, Path, ServerAddress, Session
@@ -11,7 +12,7 @@
 
 SLOT_QUARANTINE_SECONDS = 3.0  # time before a slot represents another client at the same server
 MIN_EVICTION_IDLE_SECONDS = 1.0  # a path that was used more recently is not evicted
-MAX_EVICTION_CANDIDATES = 16  # paths examined per eviction, starting with the oldest
+MAX_CANDIDATES = 16  # slots examined when one is to be shared or evicted, starting with the oldest
 MAX_PATHS_PER_SESSION = 4
 
 
@@ -23,8 +24,9 @@
         self.context, self._delivery = context, delivery
         self.count = 0
         self._slots: SocketSlots[ServerAddress] = SocketSlots(context.settings.most_sockets, SLOT_QUARANTINE_SECONDS)
-        # Paths by server address and slot; those opened or examined for eviction longest ago come first.
-        self._by_server_address: dict[ServerAddress, OrderedDict[int, Path]] = {}
+        # Paths by server address and slot, of which several share one where sockets are used up. The slots that were
+        # opened or examined longest ago come first.
+        self._by_server_address: dict[ServerAddress, OrderedDict[int, list[Path]]] = {}
         # The latest path for each client address and server
         self._by_client: dict[tuple[ClientAddress, int], Path] = {}
 
@@ -32,10 +34,23 @@
         """Use the number of sockets in the settings in force."""
         self._slots.resize(self.context.settings.most_sockets)
 
-    def find_path_by_slot(self, slot: int, server_address: ServerAddress) -> Path | None:
+    def find_path_by_slot(self, slot: int, server_address: ServerAddress, data: bytes) -> Path | None:
         """Return the path on which a server's datagram arrived, or None if it is closed."""
+        paths = self.paths_of_slot(slot, server_address)
+        if len(paths) < 2:
+            return paths[0] if paths else None
+        prefix = destination_prefix(data)
+        for path in paths:
+            if prefix and path.client_cid.known_prefix == prefix:
+                return path
+        # The server uses a connection ID that it has not used before.
+        unknown = [path for path in paths if not path.client_cid.known_prefix]
+        return max(unknown or paths, key=lambda path: path.last_client_datagram_at)
+
+    def paths_of_slot(self, slot: int, server_address: ServerAddress) -> list[Path]:
+        """Return the open paths of a slot at a server."""
         table = self._by_server_address.get(server_address)
-        return None if table is None else table.get(slot)
+        return [] if table is None else table.get(slot, [])
 
     def find_path(self, client_address: ClientAddress, server: int) -> Path | None:
         """Return the latest path between a client's address and a server, or None."""
@@ -53,19 +68,25 @@
             return None
         if len(session.all_paths()) >= MAX_PATHS_PER_SESSION:
             self.close(session.least_useful_path())
-        slot = self._take_slot(server_address, session)
+        client_cid = session.expected_client_cid()
+        slot = self._take_slot(server_address, session, client_cid)
         if slot is None:
             self.context.counters.add("quic out of paths")
             return None
         now = self.context.now
-        path = Path(session, client_address, server, server_address, slot, last_used_at=now, opened_at=now)
-        self._by_server_address.setdefault(server_address, OrderedDict())[slot] = path
+        path = Path(session, client_address, server, server_address, slot, now, opened_at=now, client_cid=client_cid)
+        self._by_server_address.setdefault(server_address, OrderedDict()).setdefault(slot, []).append(path)
         self._by_client[client_address, server] = path
         self.count += 1
         return path
 
-    def _take_slot(self, server_address: ServerAddress, session: Session) -> int | None:
+    def _take_slot(
+        self, server_address: ServerAddress, session: Session, client_cid: ClientConnectionId
+    ) -> int | None:
         slot = self._slots.acquire(server_address, self.context.now)
+        if slot is None and (shared := self._find_shareable_slot(server_address, session, client_cid)) is not None:
+            self.context.counters.add("quic sockets shared")
+            return shared
         if slot is None and (evicted := self._find_evictable(server_address, session)) is not None:
             # File descriptors are short. The evicted session continues: its next datagram opens a new path. The slot
             # needs no quarantine: what the server still sends to it is for the same client, or the path was idle.
@@ -77,6 +98,27 @@
             return None
         return slot
 
+    def _find_shareable_slot(
+        self, server_address: ServerAddress, session: Session, client_cid: ClientConnectionId
+    ) -> int | None:
+        """Return the slot with the fewest paths, of those examined, whose server's datagrams can be told apart.
+
+        The server has to use known connection IDs on all paths of a slot but one, and no two are of one session.
+        """
+        table = self._by_server_address.get(server_address, OrderedDict())
+        found: int | None = None
+        for _ in range(min(MAX_CANDIDATES, len(table))):
+            slot, paths = table.popitem(last=False)
+            table[slot] = paths
+            prefixes = [path.client_cid.known_prefix for path in paths]
+            is_distinct = all(prefixes) and client_cid.known_prefix not in prefixes
+            is_excluded = any(path.session is session or path.session.routed_by_address for path in paths)
+            if not is_distinct or is_excluded or slot >= self._slots.max_slots:
+                continue
+            if found is None or len(paths) < len(table[found]):
+                found = slot
+        return found
+
     def _find_evictable(self, server_address: ServerAddress, session: Session) -> Path | None:
         """Return the path whose slot a new path of the session may take.
 
@@ -92,9 +134,12 @@
         """Return the most idle of the oldest paths, if it may be evicted, and move those paths to the end."""
         table = self._by_server_address.get(server_address, OrderedDict())
         found: Path | None = None
-        for _ in range(min(MAX_EVICTION_CANDIDATES, len(table))):
-            slot, path = table.popitem(last=False)
-            table[slot] = path
+        for _ in range(min(MAX_CANDIDATES, len(table))):
+            slot, paths = table.popitem(last=False)
+            table[slot] = paths
+            if len(paths) > 1:
+                continue
+            (path,) = paths
             idle = path.session.setup is None and path.last_used_at + MIN_EVICTION_IDLE_SECONDS < self.context.now
             if idle and slot < self._slots.max_slots and (found is None or path.last_used_at < found.last_used_at):
                 found = path
@@ -107,15 +152,18 @@
             path: the path.
             quarantine_seconds: time before its slot is used for the same server again; None for the usual time.
         """
-        if self._unlink(path):
+        if self._unlink(path) and not self.paths_of_slot(path.slot, path.server_address):
             self._slots.release(path.server_address, path.slot, self.context.now, quarantine_seconds)
 
     def _unlink(self, path: Path) -> bool:
         """Remove a path from the tables and its session; return False if it was not in them."""
         table = self._by_server_address.get(path.server_address)
-        if table is None or table.get(path.slot) is not path:
+        paths = self.paths_of_slot(path.slot, path.server_address)
+        if table is None or path not in paths:
             return False
-        del table[path.slot]
+        paths.remove(path)
+        if not paths:
+            del table[path.slot]
         self.count -= 1
         self._delivery.discard(path)
         if not table:
--- a/aspensaddle/frontends/quic/session.py
+++ b/aspensaddle/frontends/quic/session.py
@@ -12,7 +12,8 @@
 
 from aspensaddle.core.actions import RequestAction
 from aspensaddle.frontends.quic.address_limits import AddressLimit, HandshakeLimit, ReplyLimit
-from aspensaddle.frontends.quic.delivery import SentDatagrams
+from aspensaddle.frontends.quic.client_cids import ClientConnectionId
+from aspensaddle.frontends.quic.delivery import MIN_QUOTE_BYTES, SentDatagrams
 from aspensaddle.frontends.quic.flight import Flight
 from aspensaddle.frontends.quic.server_silence import UnansweredDatagrams
 
@@ -39,17 +40,31 @@
     dcid: bytes = b""  # the latest routable connection ID that the client used on it
     last_datagram_bytes: int = 0  # size of the client's latest datagram
     last_datagram_start: bytes = b""  # its start, to recognize a report that it was not delivered
-    address_limit: AddressLimit | None = field(
-        default_factory=ReplyLimit
-    )  # None: the handshake validated the address
+    # None if the handshake validated the client's address
+    address_limit: AddressLimit | None = field(default_factory=ReplyLimit)
     opened_at: float = 0.0  # in seconds of the context's clock
-    last_server_datagram_at: float = -math.inf  # time of the latest datagram of the server, in the same seconds
+    # Times of the latest datagrams, in the same seconds
+    last_server_datagram_at: float = -math.inf
+    last_client_datagram_at: float = -math.inf
     bytes_from_client: int = 0
     bytes_from_server: int = 0
     bytes_to_client: int = 0  # those of the server that were passed on
     is_confirmed: bool = False  # whether the server has sent enough to show that it has the session at this address
+    client_cid: ClientConnectionId = field(default_factory=ClientConnectionId)
     unanswered: UnansweredDatagrams = field(default_factory=UnansweredDatagrams)
 
+    def record_client_datagram(self, data: bytes, dcid: bytes, now: float) -> None:
+        """Record a datagram of the client to a routable connection ID, or to none, at `now` in seconds."""
+        self.last_used_at = self.last_client_datagram_at = now
+        self.bytes_from_client += len(data)
+        self.last_datagram_bytes = len(data)
+        self.last_datagram_start = data[:MIN_QUOTE_BYTES]
+        if not dcid or dcid == self.dcid:
+            return
+        if self.dcid:
+            self.client_cid.forget()  # the server changes the client's, too (RFC 9000, 9.5)
+        self.dcid = dcid
+
 
 class SetupStage(Enum):
     """The stage of a session's setup."""
@@ -112,6 +127,13 @@
         """Return True: with datagrams, a client that left cannot be distinguished from a silent one."""
         return True
 
+    def expected_client_cid(self) -> ClientConnectionId:
+        """Return the connection ID that a server probably uses for the client on a new path."""
+        if self.setup is not None:
+            return ClientConnectionId.of(self.setup.scid)
+        # The server changes it if the client changes its own, too (RFC 9000, 9.5); then it is learned.
+        return ClientConnectionId() if self.path is None else ClientConnectionId(self.path.client_cid.known_prefix)
+
     def least_useful_path(self) -> Path:
         """Return the path to close for a new one, of a session that has several.
 
--- a/aspensaddle/frontends/quic/session_table.py
+++ b/aspensaddle/frontends/quic/session_table.py
@@ -12,7 +12,7 @@
 from aspensaddle.core.events import Outcome, Request
 from aspensaddle.frontends.quic.client_delivery import ClientDelivery
 from aspensaddle.frontends.quic.context import Context
-from aspensaddle.frontends.quic.delivery import MIN_QUOTE_BYTES, DeliveryFailure, FailureReason
+from aspensaddle.frontends.quic.delivery import DeliveryFailure, FailureReason
 from aspensaddle.frontends.quic.departure_evidence import DepartureEvidence
 from aspensaddle.frontends.quic.limits import ExpiringMap, FairRateLimiter
 from aspensaddle.frontends.quic.path_table import PathTable
@@ -143,13 +143,9 @@
             if path is None:
                 return
         now = self.context.now
-        session.last_active_at = session.last_client_datagram_at = path.last_used_at = now
+        session.last_active_at = session.last_client_datagram_at = now
+        path.record_client_datagram(data, dcid, now)
         path.unanswered.record(now, self.server_activity.last_heard_at(session.server))
-        path.bytes_from_client += len(data)
-        path.last_datagram_bytes = len(data)
-        path.last_datagram_start = data[:MIN_QUOTE_BYTES]
-        if dcid:
-            path.dcid = dcid
         if path.address_limit is not None and path.address_limit.record_received(len(data), dcid):
             path.address_limit = None
         self.context.transport.send_to_server(data, path)
--- a/tests/test_quic_guards.py
+++ b/tests/test_quic_guards.py
@@ -11,6 +11,7 @@
 from aspensaddle.conformance.quic_server import ServerMode
 from aspensaddle.frontends.quic.address_limits import HandshakeLimit, ReplyLimit
 from aspensaddle.frontends.quic.address_validation import MIN_CALM_SECONDS, AddressValidationPolicy
+from aspensaddle.frontends.quic.client_cids import ClientConnectionId, destination_prefix
 from aspensaddle.frontends.quic.limits import MAX_COUNTED_CLIENTS, ExpiringMap, FairRateLimiter, RateLimiter
 from aspensaddle.frontends.quic.retry_tokens import MAX_CLOCK_SKEW_SECONDS, RetryTokens, TokenKey, TokenVerdict
 from aspensaddle.frontends.quic.socket_slots import SocketSlots
@@ -153,6 +154,28 @@
     assert replying.replies == 50 and replying.window_bytes == 1 << 20
 
 
+def test_connection_id_of_a_client_is_known_once_two_datagrams_show_it():
+    cid, learned = b"abcdefgh", ClientConnectionId()
+    short = [b"\x40" + cid + bytes([number]) * 30 for number in range(3)]
+    learned.record(short[0])
+    assert not learned.known_prefix
+    learned.record(short[1])
+    assert learned.known_prefix == cid[:4] == destination_prefix(short[2])
+    for number in range(5):  # another one is learned; single datagrams that begin in another way change nothing
+        learned.record(b"\x40" + os.urandom(40))
+        assert learned.known_prefix == cid[:4]
+        learned.record(short[number % 3])
+    learned.forget()
+    assert not learned.known_prefix
+    long_header = b"\xe0\x00\x00\x00\x01"
+    assert destination_prefix(long_header + bytes([8]) + cid + bytes(30)) == cid[:4]
+    for length in range(4):  # what follows a short connection ID is no part of it
+        assert not destination_prefix(long_header + bytes([length]) + cid)
+        assert not ClientConnectionId.of(cid[:length]).known_prefix
+    assert ClientConnectionId.of(cid).known_prefix == cid[:4]
+    assert destination_prefix(b"\x80") == destination_prefix(b"") == b""
+
+
 def test_expiring_map_and_rate_limiter_keep_their_bounds():
     table = ExpiringMap(2, 5.0)
     for i, key in enumerate((b"a", b"b", b"c")):
--- a/tests/test_quic_paths.py
+++ b/tests/test_quic_paths.py
@@ -75,6 +75,10 @@
     client.rebind()
 
 
+def change_id(results, client, change):
+    client.change_cid()
+
+
 def change_to_earlier_port(results, client, change):
     ports = results.ports[results.clients.index(client)]
     if change % 3:
@@ -349,3 +353,53 @@
     results = Results(testbed)
     play(testbed, results, change_id_and_port, 1.5)
     assert results.late() == []
+
+
+# More paths than sockets
+
+
+def count_foreign_datagrams(clients):
+    """Have clients count the short-header datagrams that were sent to no connection ID of theirs."""
+    foreign = dict.fromkeys(clients, 0)
+
+    def count(client, handle_datagram):
+        def handle(data, source):
+            own = [cid.cid for cid in client.connection._host_cids]
+            foreign[client] += not data[0] & 0x80 and not any(data[1:].startswith(cid) for cid in own)
+            handle_datagram(data, source)
+
+        client.handle_datagram = handle
+
+    for client in clients:
+        count(client, client.handle_datagram)
+    return foreign
+
+
+@pytest.mark.parametrize("change", [keep_all, change_id, change_port, change_balancer, restart_on_other_ports])
+def test_more_sessions_than_sockets_get_their_results_after_any_pause(create_testbed, change):
+    """Guards against a socket that is taken from a session whose server is about to answer (review/8)."""
+    testbed = create_testbed(frontends=2, modes=(ServerMode.OK,), extra_settings="most_sockets = 6\n")
+    results = Results(testbed, 16, 3_000)
+    foreign = count_foreign_datagrams(results.clients)
+    pause = 1.5  # longer than the second for which an idle path was kept
+    testbed.servers[0].result_seconds = pause
+    for turn in range(5):
+        for client in results.clients:
+            if turn:
+                change(results, client, turn)
+            client.send_request(b"line")
+            testbed.run(0.01)
+        expected, sent_at = (turn + 1) * results.result_bytes, testbed.net.now()
+        testbed.wait(lambda e=expected: all(received_bytes(c) >= e for c in results.clients), f"results {turn}")
+        assert testbed.net.now() - sent_at <= pause + IN_TIME_SECONDS
+    assert sum(foreign.values()) == 0
+
+
+def test_clients_without_connection_ids_do_not_share_a_socket(create_testbed):
+    """Guards against datagrams that nobody can tell apart."""
+    testbed = create_testbed(modes=(ServerMode.OK,), extra_settings="most_sockets = 2\n")
+    clients = [testbed.client(cid_length=0) for _ in range(3)]
+    testbed.run(3.0)
+    assert sum(client.handshake_complete for client in clients) == 2
+    assert not testbed.frontend.counts().get("quic sockets shared")
+    assert all(client.handshake_complete or client.terminations for client in clients)
