--- a/tests/test_quic_paths.py
+++ b/tests/test_quic_paths.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from aspensaddle.conformance.quic_server import ServerMode
+from aspensaddle.conformance.testbed import Testbed, TestbedSetup
 from aspensaddle.frontends.quic.address_limits import ReplyLimit
 from aspensaddle.frontends.quic.client_delivery import MAX_HELD_BYTES, MAX_HELD_BYTES_PER_PATH
 
@@ -247,6 +248,26 @@
     assert testbed.net.now() - sent_at <= 0.5 + IN_TIME_SECONDS
 
 
+def restart_process(results, client, change):
+    if client is results.clients[0]:
+        results.testbed.frontend.restart()
+
+
+@pytest.mark.parametrize(
+    ("change", "pause"), [(change_port, CHANGE_INTERVAL_SECONDS), (restart_process, 0.2), (change_id_and_port, 0.2)]
+)
+def test_results_arrive_in_time_through_the_program(tmp_path, change, pause):
+    """Guards against the same with real sockets, whose ports differ after a restart."""
+    testbed = Testbed(TestbedSetup(modes=(ServerMode.OK,)), tmp_path)
+    try:
+        testbed.begin_case()
+        results = Results(testbed)
+        play(testbed, results, change, pause)
+        assert results.late() == []
+    finally:
+        testbed.close()
+
+
 # What an address that never replies can draw
 
 
