Store: lost datagrams delay a hand-over less, and tests play one order of tasks for a seed

Cause: a datagram asked for up to 50 keys or 16 summaries, which all waited for its repetition, and the time until a repetition doubled whenever no answer came between two timeouts.

Change: 10 keys or 4 summaries a datagram; the timeout doubles once, and only if nothing was answered for as long.

--- a/aspensaddle/store/entry_copy.py
+++ b/aspensaddle/store/entry_copy.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
 from typing import TypeVar
@@ -20,7 +20,9 @@
 MAX_SUMMARIES_IN_FLIGHT = 16
 MAX_BYTES_IN_FLIGHT = 128 << 10  # of entries; fits into a receive buffer, whose overhead is as large again
 MAX_KEYS_IN_FLIGHT = 256
-MAX_KEYS_PER_REQUEST = 50  # of the longest keys, these still fit into a datagram
+# What one datagram asks for: few, so that a lost one delays few.
+MAX_KEYS_PER_REQUEST = 10
+MAX_BUCKETS_PER_REQUEST = 4
 SIZE_SMOOTHING_GAIN = 1 / 8
 
 _Name = TypeVar("_Name", int, str)  # a bucket or a key
@@ -147,9 +149,7 @@
         self._close_if_copied(summary.bucket)
 
     def _record_answer(self, request: _InFlight, now: float) -> None:
-        self._timer.record_answer()
-        if not request.repeated:
-            self._timer.record_round_trip(now - request.sent_at)
+        self._timer.record_answer(None if request.repeated else now - request.sent_at, now)
 
     def handle_entries(self, entries: Iterable[Entry], now: float) -> None:
         """Note the entries that arrived from the peer, after they were merged.
@@ -196,11 +196,8 @@
             now: A monotonic time in seconds.
         """
         requests: list[SummaryRequest | EntryRequest] = []
-        if buckets := self._due_buckets(now):
-            requests.append(SummaryRequest(buckets))
-        keys = self._due_keys(now)
-        for start in range(0, len(keys), MAX_KEYS_PER_REQUEST):
-            requests.append(EntryRequest(keys[start : start + MAX_KEYS_PER_REQUEST]))
+        requests += map(SummaryRequest, _chunks(self._due_buckets(now), MAX_BUCKETS_PER_REQUEST))
+        requests += map(EntryRequest, _chunks(self._due_keys(now), MAX_KEYS_PER_REQUEST))
         return requests
 
     def _due_buckets(self, now: float) -> list[int]:
@@ -232,5 +229,10 @@
         for name in lost:
             requests[name] = _InFlight(now, repeated=True)
         if lost:
-            self._timer.record_timeout()
+            self._timer.record_timeout(now)
         return lost
+
+
+def _chunks(names: list[_Name], size: int) -> Iterator[list[_Name]]:
+    for start in range(0, len(names), size):
+        yield names[start : start + size]
--- a/aspensaddle/store/replica.py
+++ b/aspensaddle/store/replica.py
@@ -10,7 +10,7 @@
 import trio
 
 from aspensaddle.store.copier import Copier
-from aspensaddle.store.entry_copy import MAX_KEYS_PER_REQUEST, MAX_SUMMARIES_IN_FLIGHT
+from aspensaddle.store.entry_copy import MAX_SUMMARIES_IN_FLIGHT
 from aspensaddle.store.handover import holds_all, is_handed_over
 from aspensaddle.store.join import JoinOutcome, has_source, join_outcome
 from aspensaddle.store.messages import (
@@ -217,7 +217,7 @@
             case VersionSummary():
                 self._handle_version_summary(body, peer)
             case EntryRequest():
-                keys = _unique(body.keys, MAX_KEYS_PER_REQUEST)
+                keys = _unique(body.keys, MAX_KEYS_IN_BUCKET)
                 self._send_entries((self.state.entries[key] for key in keys if key in self.state.entries), peer)
             case EntryBatch():
                 self._handle_entries(body, peer)
--- a/tests/store_network.py
+++ b/tests/store_network.py
@@ -94,6 +94,7 @@
     def boot(self) -> None:
         """Start a process without waiting until it is ready."""
         self.replica = Replica(self.name, self.settings, Counters(), joins=True)
+        self.replica._random.seed(self.network.random.random())
         self.replica.transport = MemoryTransport(self.network, self.name)
         self.replica.bind()
         self.outcome, self.ready = None, trio.Event()
@@ -134,6 +135,12 @@
         return self.replica.state.entries
 
 
+def seed_scheduler(seed: int) -> None:
+    """Make trio run the tasks of a pass in the same order in each play of a seed."""
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(seed)
+
+
 def make_nodes(network: Network, count: int, **settings) -> list[Node]:
     """Return the nodes of one store; none is started."""
     addresses = {f"n{number}": ("127.0.0.1", 7000 + number) for number in range(count)}
--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 import trio.testing
-from store_network import KILL_SECONDS, SHARED_KEY, Network, command, fill, make_nodes
+from store_network import KILL_SECONDS, SHARED_KEY, Network, command, fill, make_nodes, seed_scheduler
 
 from aspensaddle.store.entry_copy import EntryCopy
 from aspensaddle.store.join import JoinOutcome
@@ -21,6 +21,7 @@
     VersionSummary,
     encode_datagram,
 )
+from aspensaddle.store.retransmission import RetransmissionTimer
 from aspensaddle.store.state import BUCKET_COUNT, MAX_KEYS, Entry, ReplicaState, bucket_of
 from aspensaddle.store.transport import unix_ms
 
@@ -37,6 +38,7 @@
             await scenario(Network(nursery, seed, loss), **settings)
             nursery.cancel_scope.cancel()
 
+    seed_scheduler(seed)
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
@@ -358,6 +360,23 @@
     play(scenario)
 
 
+def test_retransmission_timer_follows_the_round_trips_and_doubles_once():
+    """Guards against a copy that waits ever longer for the last lost datagrams, while its source has little time."""
+    timer = RetransmissionTimer()
+    for number in range(50):
+        timer.record_answer(0.1, number * 0.1)
+    assert 0.1 <= timer.timeout < 0.11
+    timer.record_timeout(5.0)  # others are answered: it was a single loss
+    assert timer.timeout < 0.11
+    for _ in range(5):
+        timer.record_timeout(6.0)
+    assert 0.2 <= timer.timeout < 0.22
+    timer.record_answer(None, 6.1)  # it may be the answer to either of two requests
+    assert 0.2 <= timer.timeout < 0.22
+    timer.record_answer(0.1, 6.2)
+    assert timer.timeout < 0.11
+
+
 def test_older_version_that_arrives_late_does_not_count_as_the_requested_one():
     source, target = (ReplicaState(node, lambda: 10**12) for node in ("n0", "n1"))
     old = Entry("k", 1, "n0", "old")
