QUIC: a path takes the socket of an earlier one only at the same server address

By reading: where a listed server has got another address, a session may have paths at both. Without a free socket its new path could take the number of a socket that other paths have at the new address. The choice is among the session's earlier paths at that address now. The tests of sockets pass (20); none provokes the case.

--- a/aspensaddle/frontends/quic/path_table.py
+++ b/aspensaddle/frontends/quic/path_table.py
@@ -7,7 +7,7 @@
 from aspensaddle.frontends.quic.client_cids import ClientConnectionId, destination_prefix
 from aspensaddle.frontends.quic.client_delivery import ClientDelivery
 from aspensaddle.frontends.quic.context import Context
-from aspensaddle.frontends.quic.session import ClientAddress, Path, ServerAddress, Session
+from aspensaddle.frontends.quic.session import ClientAddress, Path, ServerAddress, Session, least_useful_path
 from aspensaddle.frontends.quic.socket_slots import SocketSlots
 
 SLOT_QUARANTINE_SECONDS = 3.0  # time before a slot represents another client at the same server
@@ -67,7 +67,7 @@
         if server_address is None:
             return None
         if len(session.all_paths()) >= MAX_PATHS_PER_SESSION:
-            self.close(session.least_useful_path())
+            self.close(least_useful_path(session.other_paths or []))
         client_cid = session.expected_client_cid()
         slot = self._take_slot(server_address, session, client_cid)
         if slot is None:
@@ -126,8 +126,8 @@
         session loses what its server sends; then an idle one of another session; at last the session's only one.
         """
         own_paths = [path for path in session.all_paths() if path.server_address == server_address]
-        if len(own_paths) > 1:
-            return session.least_useful_path()
+        if left_paths := [path for path in own_paths if path is not session.path]:
+            return least_useful_path(left_paths)
         return self._find_most_idle(server_address) or next(iter(own_paths), None)
 
     def _find_most_idle(self, server_address: ServerAddress) -> Path | None:
--- a/aspensaddle/frontends/quic/session.py
+++ b/aspensaddle/frontends/quic/session.py
@@ -134,15 +134,16 @@
         # The server changes it if the client changes its own, too (RFC 9000, 9.5); then it is learned.
         return ClientConnectionId() if self.path is None else ClientConnectionId(self.path.client_cid.known_prefix)
 
-    def least_useful_path(self) -> Path:
-        """Return the path to close for a new one, of a session that has several.
-
-        It is an earlier one on which the server never sent anything, the latest of these, as somebody else may have
-        opened it; or else the earlier one on which the server has been silent for longest.
-        """
-        return min(self.other_paths or (), key=lambda path: (path.last_server_datagram_at, -path.opened_at))
-
     def all_paths(self) -> list[Path]:
         """Return the session's paths, the one in use first."""
         found = [] if self.path is None else [self.path]
         return found + (self.other_paths or [])
+
+
+def least_useful_path(paths: list[Path]) -> Path:
+    """Return the path to close for a new one, of some that a session's client has left.
+
+    It is one on which the server never sent anything, the latest of these, as somebody else may have opened it; or
+    else the one on which the server has been silent for longest.
+    """
+    return min(paths, key=lambda path: (path.last_server_datagram_at, -path.opened_at))
