Selection: without a confirmed list, a request searches only confirmed servers

Cause: where the state of few or no servers is confirmed, each request passed every entry of the rotation heap, up to three times for each pool.

Change: `EndpointConfirmation` keeps the servers that accepted an attempt lately (bounded by their age), and selection takes its candidates from them while the list is not confirmed, in the order of the rotation and of the ring as before. Without any, the request is rejected at once.

--- a/aspensaddle/core/balancer.py
+++ b/aspensaddle/core/balancer.py
@@ -223,6 +223,7 @@
         request.is_established = True
         request.established_at = now
         server.accepted_at = request.attempt_started_at
+        self.state.endpoint_confirmation.attempt_accepted(now, server, self.state.rules.drain_grace)
         self.outlier_ejection.attempt_accepted(now, server)
         objective = self.state.settings.classes[request.request.class_index].latency_objective
         self.passive_measurement.count(server, accepted=latency <= objective)
--- a/aspensaddle/core/balancer_state.py
+++ b/aspensaddle/core/balancer_state.py
@@ -88,6 +88,13 @@
         """Return whether the state of a server is known recently enough for an attempt."""
         return self.endpoint_confirmation.is_confirmed(now, server, self.rules.drain_grace)
 
+    def only_confirmed_servers(self, now: float) -> list[Server] | None:
+        """Return the servers whose state is confirmed, or None if the list confirms them all."""
+        drain_grace = self.rules.drain_grace
+        if self.endpoint_confirmation.is_list_confirmed(now, drain_grace):
+            return None
+        return self.endpoint_confirmation.confirmed_by_attempts(now, self.servers, drain_grace)
+
     def capacity_fraction(self, now: float, server: Server) -> float:
         """Return the least fraction of its capacity that a server is sure to have at the time `now`."""
         return self.rules.capacity_fraction(now - server.started_at) if server.started_at else 1.0
--- a/aspensaddle/core/request_state.py
+++ b/aspensaddle/core/request_state.py
@@ -30,4 +30,5 @@
         self.utilization_limit = 1.0  # highest utilization of a server that may be selected
         self.preferred_server_count = 0  # servers that the list alone gives its session group; 0: none
         self.slow_start_draw = 0.0  # one random number for all warming servers that are considered; 0: not drawn
+        self.only_servers: list[Server] | None = None  # servers that may be selected now; None: all of the list
         self.no_server_reason = RejectReason.NO_AVAILABLE_SERVER  # why no server was found
--- a/aspensaddle/core/server_selection.py
+++ b/aspensaddle/core/server_selection.py
@@ -46,6 +46,14 @@
 
     def select(self, now: float, request: RequestState) -> Server | None:
         """Return the server of the next attempt, or None with the reason in the request's `no_server_reason`."""
+        request.only_servers = self._state.only_confirmed_servers(now)
+        if request.only_servers is not None and self._state.ready_count:
+            request.no_server_reason = RejectReason.ENDPOINTS_UNCONFIRMED
+        if request.only_servers == []:
+            return None
+        return self._search(now, request)
+
+    def _search(self, now: float, request: RequestState) -> Server | None:
         pools = self._pools_to_search(request)
         for pool in pools:
             server = self._preferred_server(now, pool, request)
@@ -104,11 +112,11 @@
     def _preferred_by_endpoint_list(self, now: float, key: int, request: RequestState) -> Server | None:
         """Return a server in the group's order of preference by the endpoint list, which all balancers share."""
         state = self._state
-        candidates = (
-            server
-            for server in state.session_groups.preferred_servers(key, state.servers.values())
-            if server.avoided_until <= now and server.id not in request.tried_servers
-        )
+
+        def is_usable(server: Server) -> bool:
+            return server.avoided_until <= now and server.id not in request.tried_servers
+
+        candidates = filter(is_usable, state.session_groups.preferred_servers(key, state.servers.values()))
         preferred = sorted(
             islice(candidates, request.preferred_server_count), key=lambda server: server.normalized_load
         )
@@ -118,6 +126,10 @@
         if self._is_rejected_until_warmed_up(now, request, preferred):
             request.no_server_reason = RejectReason.AFFINITY_SERVER_WARMING_UP
             return None
+        if request.only_servers is not None:
+            confirmed = {server.id for server in request.only_servers}
+            preferred = [server for server in preferred if server.id in confirmed]
+            candidates = filter(is_usable, HashRing(request.only_servers).walk(key))
         for server in chain(preferred, candidates):
             if server.is_available and self.may_attempt(now, request, server):
                 return server
--- a/aspensaddle/core/weighted_rotation.py
+++ b/aspensaddle/core/weighted_rotation.py
@@ -129,7 +129,9 @@
 
         With `allow_slow`, slow servers are considered too.
         """
-        return pool.rotation_heap.first(
+        return self._first(
+            pool,
+            request,
             lambda server: (
                 (server.is_available or (allow_slow and server.ejected_until <= now))
                 and server.id not in request.tried_servers
@@ -141,4 +143,14 @@
         self, now: float, pool: ServerPool, request: RequestState, may_attempt: MayAttempt
     ) -> Server | None:
         """Return the first server in rotation that may be attempted, even if it is ejected or was tried."""
-        return pool.rotation_heap.first(lambda server: may_attempt(now, request, server))
+        return self._first(pool, request, lambda server: may_attempt(now, request, server))
+
+    def _first(self, pool: ServerPool, request: RequestState, is_eligible: Callable[[Server], bool]) -> Server | None:
+        """Return the first eligible server in rotation; where few servers are confirmed, search only those."""
+        if request.only_servers is None:
+            return pool.rotation_heap.first(is_eligible)
+        in_rotation = [
+            server for server in request.only_servers if server.share and pool in self._state.pools_of(server)
+        ]
+        in_rotation.sort(key=lambda server: (server.normalized_load, server.id))
+        return next(filter(is_eligible, in_rotation), None)
--- a/tests/test_crowded_discovery.py
+++ b/tests/test_crowded_discovery.py
@@ -13,7 +13,8 @@
 
 from aspensaddle.core.actions import Reject, RejectReason, StartAttempt
 from aspensaddle.core.driver import Driver
-from aspensaddle.core.events import Endpoint, EndpointListConfirmed, Outcome, Request
+from aspensaddle.core.endpoint_confirmation import EndpointConfirmation
+from aspensaddle.core.events import Endpoint, EndpointListConfirmed, Outcome, Request, ServerState
 from aspensaddle.discovery import watch_call, watch_policy
 from aspensaddle.discovery.watch_call import WatchCall
 from aspensaddle.discovery.watcher import EndpointWatcher
@@ -248,6 +249,56 @@
     assert isinstance(harness.submit_request()[0], StartAttempt)
 
 
+LARGE_FLEET = 3200  # servers, the most that the operators' pages allow
+MAX_SERVERS_PER_SEARCH = 40  # a request in a large fleet examines about a hundredth of the servers at most
+
+
+@pytest.mark.parametrize("group", [None, 3])
+@pytest.mark.parametrize("confirmed", [0, 5])
+def test_requests_in_a_large_fleet_search_only_confirmed_servers(confirmed, group, monkeypatch):
+    """Guards against a search of all servers for each request, which answers the clients of a wave too late."""
+    settings = replace(SETTINGS_WITH_DRAIN_GRACE, balancer_count=200, session_groups=True)
+    harness = BalancerHarness([make_endpoint(number) for number in range(LARGE_FLEET)], settings)
+    harness.balancer.handle(harness.now, EndpointListConfirmed())
+    harness.now += 7.0
+    accepting = {harness.place().server for _ in range(confirmed)}
+    harness.now += 1.0
+    examined = []
+    is_confirmed = EndpointConfirmation.is_confirmed
+
+    def count(self, now, server, drain_grace):
+        examined.append(server.id)
+        return is_confirmed(self, now, server, drain_grace)
+
+    monkeypatch.setattr(EndpointConfirmation, "is_confirmed", count)
+    for _ in range(20):
+        examined.clear()
+        (action,) = harness.submit_request(session_group=group)
+        assert len(examined) <= MAX_SERVERS_PER_SEARCH
+        if confirmed:
+            assert isinstance(action, StartAttempt) and action.server in accepting
+        else:
+            assert isinstance(action, Reject) and action.reason is RejectReason.ENDPOINTS_UNCONFIRMED
+
+
+@pytest.mark.parametrize("group", [None, 3])
+def test_confirmed_servers_are_used_in_the_order_of_the_rotation_and_left_when_they_drain(group):
+    settings = replace(SETTINGS_WITH_DRAIN_GRACE, balancer_count=200, session_groups=True)
+    harness = BalancerHarness([make_endpoint(number) for number in range(30)], settings)
+    harness.balancer.handle(harness.now, EndpointListConfirmed())
+    harness.now += 7.0
+    accepting = {harness.place().server for _ in range(4)}
+    harness.now += 1.0
+    seen = set()
+    for _ in range(4):
+        (attempt,) = harness.submit_request(session_group=group)
+        assert attempt.server in accepting - seen
+        harness.withdraw_server(attempt.server, ServerState.DRAINING)
+        seen.add(attempt.server)
+    (action,) = harness.submit_request(session_group=group)
+    assert isinstance(action, Reject) and action.reason is RejectReason.ENDPOINTS_UNCONFIRMED
+
+
 def test_attempt_and_adoption_may_not_start_after_the_confirmation_has_expired():
     clock = SimpleNamespace(now=100.0)
     services = SimpleNamespace(timers_changed=lambda: None, check_health=lambda server: None)
