--- a/aspensaddle/core/driver.py
+++ b/aspensaddle/core/driver.py
@@ -144,7 +144,7 @@
         """
         active = self._requests.get(request_id)
         now = self.now()
-        if active is None or not self._may_receive_attempt(now, active.server):
+        if active is None or not self.is_ready(active.server) or not self.balancer.is_confirmed(now, active.server):
             return False
         if now >= min(active.deadline, self._attempts_end_at):
             return False
@@ -163,15 +163,14 @@
         return server in self._ready_servers
 
     def may_start_adoption(self, handler: RequestHandler, server: int) -> bool:
-        """Return whether an attempt to adopt a connection may send its first byte, which is then done at once."""
-        now = self.now()
-        if now >= self._attempts_end_at or not self._may_receive_attempt(now, server):
+        """Return whether an attempt to adopt a connection may send its first byte, which is then done at once.
+
+        The server's state need not be confirmed: the connection is not new to it, and no other server can take it.
+        """
+        if self.now() >= self._attempts_end_at or not self.is_ready(server):
             return False
         return handler.client_is_connected()
 
-    def _may_receive_attempt(self, now: float, server: int) -> bool:
-        return self.is_ready(server) and self.balancer.is_confirmed(now, server)
-
     def stop_attempts_after(self, seconds: float) -> None:
         """Start no attempt later than `seconds` from now, because the process is shutting down."""
         self._attempts_end_at = min(self._attempts_end_at, self.now() + seconds)
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -43,6 +43,24 @@
     FrontendHarness([server]).run(script)
 
 
+def test_adoption_needs_no_confirmed_list():
+    """Guards against connections that stay lost while discovery is crowded and every call to it fails."""
+    server = StubServer("s-0")
+
+    async def script(harness):
+        driver = harness.driver
+        driver.balancer.state.endpoint_confirmation.confirm_list(driver.now() - 60.0)
+        new = await harness.send_open("c=test-run,d=3000", request_id="new")
+        assert (await new.read_line()).startswith(b"BUSY")
+        adopted = await harness.send_open(ADOPTION_FIELDS, request_id="adopted")
+        assert await adopted.read_line() == b"UP s-0\r\n"
+        for client in (new, adopted):
+            await close_client(client)
+        await harness.wait_until_all_closed()
+
+    FrontendHarness([server]).run(script)
+
+
 def test_reset_attempt_is_retried_if_the_class_allows_it():
     server = StubServer("s-0")
     server.hold_connections = True
