Slow start: a request over every server's limit is rejected without a search

Change: the state keeps the earliest start and the largest weight of the servers that are warming up.

--- a/aspensaddle/core/balancer_state.py
+++ b/aspensaddle/core/balancer_state.py
@@ -42,6 +42,8 @@
         self.fleet_pool = ServerPool()
         self.ready_count = 0
         self.warming_up_count = 0
+        self.earliest_warming_start = 0.0  # start time of the server that has been warming up for longest
+        self.largest_warming_weight = 0.0  # largest weight of a server that is warming up
         # Loads.
         self.mean_load = 1.0
         self.load_samples = 0  # number of samples in the mean, up to a maximum
@@ -95,6 +97,17 @@
             return None
         return self.endpoint_confirmation.confirmed_by_attempts(now, self.servers, drain_grace)
 
+    def update_warming_up(self, now: float) -> None:
+        """Update the number, the earliest start and the largest weight of the ready servers that are warming up."""
+        warming_up = [
+            server
+            for server in self.servers.values()
+            if server.is_ready and self.capacity_fraction(now, server) < 1.0
+        ]
+        self.warming_up_count = len(warming_up)
+        self.earliest_warming_start = min((server.started_at for server in warming_up), default=0.0)
+        self.largest_warming_weight = max((server.weight for server in warming_up), default=0.0)
+
     def capacity_fraction(self, now: float, server: Server) -> float:
         """Return the least fraction of its capacity that a server is sure to have at the time `now`."""
         return self.rules.capacity_fraction(now - server.started_at) if server.started_at else 1.0
--- a/aspensaddle/core/latency_outliers.py
+++ b/aspensaddle/core/latency_outliers.py
@@ -56,13 +56,11 @@
     def update_statistics(self, now: float) -> None:
         """Update the slow fraction of each pool, from the servers that hold connections of this balancer.
 
-        Also updates the other counts over all servers: those that are warming up, and the reported connections.
+        Also updates what else is counted over all servers: those that are warming up, and the reported connections.
         """
         state = self._state
         state.reported_connections = sum(server.reported.connections for server in state.servers.values())
-        state.warming_up_count = sum(
-            server.is_ready and state.capacity_fraction(now, server) < 1.0 for server in state.servers.values()
-        )
+        state.update_warming_up(now)
         observed, slow = self._count_observed(now)
         assumed = ASSUMED_NOT_SLOW_SERVERS + ASSUMED_NOT_SLOW_SERVERS_SPARSE * state.has_few_connections
         for pool in (state.local_pool, state.fleet_pool):
--- a/aspensaddle/core/server_selection.py
+++ b/aspensaddle/core/server_selection.py
@@ -49,7 +49,7 @@
         request.only_servers = self._state.only_confirmed_servers(now)
         if request.only_servers is not None and self._state.ready_count:
             request.no_server_reason = RejectReason.ENDPOINTS_UNCONFIRMED
-        if request.only_servers == []:
+        if request.only_servers == [] or self._slow_start.exceeds_every_limit(now, request):
             return None
         return self._search(now, request)
 
--- a/aspensaddle/core/slow_start.py
+++ b/aspensaddle/core/slow_start.py
@@ -36,19 +36,40 @@
         capacity_fraction = self._state.capacity_fraction(now, server)
         if capacity_fraction >= 1.0:
             return False
-        allowed = self._allowed_load_rate(server, capacity_fraction)
-        request.slow_start_draw = request.slow_start_draw or self._state.random.random()
+        allowed = self._allowed_load_rate(server.weight, capacity_fraction)
         too_soon = now < server.last_attempt_at + self._min_attempt_interval(request, allowed)
-        is_over_limit = too_soon or request.slow_start_draw * self._offered_load_rate(request) >= allowed
+        is_over_limit = self._is_drawn_over(allowed, request) or too_soon
         if is_over_limit:
             request.no_server_reason = RejectReason.SLOW_START_LIMIT
         return is_over_limit
 
-    def _allowed_load_rate(self, server: Server, capacity_fraction: float) -> float:
-        """Return the new load per second that all balancers together may send to a server."""
+    def exceeds_every_limit(self, now: float, request: RequestState) -> bool:
+        """Return whether an attempt at any server would exceed its limit; if so, record that reason in the request.
+
+        This takes no search. It returns False wherever a server is warm, or an attempt at one might be allowed.
+        """
+        state = self._state
+        if not 0 < state.ready_count <= state.warming_up_count:
+            return False
+        capacity_fraction = state.rules.capacity_fraction(now - state.earliest_warming_start)
+        if capacity_fraction >= 1.0:
+            return False
+        most_allowed = self._allowed_load_rate(state.largest_warming_weight, capacity_fraction)
+        is_over_every_limit = self._is_drawn_over(most_allowed, request)
+        if is_over_every_limit:
+            request.no_server_reason = RejectReason.SLOW_START_LIMIT
+        return is_over_every_limit
+
+    def _is_drawn_over(self, allowed: float, request: RequestState) -> bool:
+        """Return whether the request is not of the random part that a limit allows, in load per second."""
+        request.slow_start_draw = request.slow_start_draw or self._state.random.random()
+        return request.slow_start_draw * self._offered_load_rate(request) >= allowed
+
+    def _allowed_load_rate(self, weight: float, capacity_fraction: float) -> float:
+        """Return the new load per second that all balancers together may send to a server of a listed weight."""
         state = self._state
         rules = state.rules
-        listed_capacity = server.weight if state.load_samples and state.settings.weights_are_sizes else 0.0
+        listed_capacity = weight if state.load_samples and state.settings.weights_are_sizes else 0.0
         typical_capacity = state.typical_server_load * state.settings.balancer_count / state.balancers_in_load
         capacity = state.reported_capacity or listed_capacity or typical_capacity
         allowed = rules.overload_multiple * capacity * capacity_fraction / rules.slow_start_duration
--- a/tests/test_slow_start_limit.py
+++ b/tests/test_slow_start_limit.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from random import Random
+
 import pytest
 from helpers import SETTINGS, BalancerHarness, make_endpoint
 
-from aspensaddle.core.actions import RejectReason
+from aspensaddle.core.actions import Reject, RejectReason, StartAttempt
 from aspensaddle.core.events import Request
 from aspensaddle.core.request_state import RequestState
 from aspensaddle.core.slow_start import SlowStart
@@ -55,3 +58,60 @@
     harness = half_warm_harness()
     harness.balancer.servers[1].last_attempt_at = harness.now - elapsed
     assert exceeds_limit(harness, server=1, draw=1e-9)[0] is is_over_limit
+
+
+LARGE_FLEET = 3200  # servers, the most that the operators' pages allow
+MAX_SERVERS_PER_SEARCH = 40  # a request in a large fleet examines about a hundredth of the servers at most
+
+
+@pytest.mark.parametrize("group", [None, 3])
+def test_request_over_every_limit_is_rejected_without_a_search(group, monkeypatch):
+    """Guards against a search of all servers for each request after a restart of a whole large fleet."""
+    settings = replace(SETTINGS, balancer_count=200, session_groups=True)
+    endpoints = [make_endpoint(number, weight=2.0, started_at=999.0) for number in range(LARGE_FLEET)]
+    harness = BalancerHarness(endpoints, settings)
+    examined = []
+    exceeds_limit = SlowStart.exceeds_limit
+
+    def count(self, now, request, server):
+        examined.append(server.id)
+        return exceeds_limit(self, now, request, server)
+
+    monkeypatch.setattr(SlowStart, "exceeds_limit", count)
+    rejected = 0
+    for _ in range(30):
+        examined.clear()
+        (action,) = harness.submit_request(load_hint=0.05, session_group=group)
+        rejected += isinstance(action, Reject)
+        assert len(examined) <= MAX_SERVERS_PER_SEARCH
+    assert rejected >= 20
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_rejection_without_a_search_is_that_of_the_search(seed, monkeypatch):
+    """Servers of any age and weight; some become warm, join or leave while requests come."""
+
+    def play():
+        rng, actions = Random(seed), []
+        settings = replace(SETTINGS, balancer_count=rng.choice([1, 3, 40, 230]))
+        harness = BalancerHarness([], settings, seed=seed)
+        for step in range(300):
+            if step < 12 or rng.random() < 0.4:
+                started_at = 0.0 if seed % 2 and rng.random() < 0.02 else harness.now - rng.uniform(-2.0, 12.0)
+                harness.update_endpoints(
+                    make_endpoint(rng.randrange(16), weight=rng.uniform(0.2, 3.0), started_at=started_at)
+                )
+            if rng.random() < 0.02:
+                harness.withdraw_server(rng.randrange(16))
+            harness.now += rng.uniform(0.0, 0.3)
+            if step % 4 == 0:
+                harness.tick(0.0)
+            (action,) = harness.submit_request(load_hint=0.05)
+            actions.append(action)
+            if isinstance(action, StartAttempt):
+                harness.establish(action)
+        return actions
+
+    with_shortcut = play()
+    monkeypatch.setattr(SlowStart, "exceeds_every_limit", lambda *args: False)
+    assert with_shortcut == play()
