--- a/aspensaddle/importer/converter.py
+++ b/aspensaddle/importer/converter.py
@@ -33,7 +33,7 @@
     if problems:
         return Conversion({}, problems)
     try:
-        configuration = map_configuration(reader.configuration, upstream, balancer_name)
+        configuration = map_configuration(path, reader.configuration, upstream, balancer_name)
     except MappingError as error:
         return Conversion({}, list(error.problems))
     parse_config(configuration)
--- a/aspensaddle/importer/mapping.py
+++ b/aspensaddle/importer/mapping.py
@@ -27,13 +27,13 @@
         self.problems = problems
 
 
-def map_configuration(nginx: NginxConfiguration, upstream: str | None, balancer_name: str) -> Message:
-    """Return the configuration for one upstream; if `upstream` is None, for the only one in use.
+def map_configuration(file: str, nginx: NginxConfiguration, upstream: str | None, balancer_name: str) -> Message:
+    """Return the configuration for one upstream of `file`; if `upstream` is None, for the only one in use.
 
     Raises:
         MappingError: If no upstream or several are in use, or the locations contradict each other.
     """
-    locations = _locations_of_upstream(nginx, upstream)
+    locations = _locations_of_upstream(file, nginx, upstream)
     problems = _conflicts(locations)
     if problems:
         raise MappingError(*problems)
@@ -51,7 +51,7 @@
     return path.strip("/").replace("/", "-") or ROOT_CLASS_NAME
 
 
-def _locations_of_upstream(nginx: NginxConfiguration, upstream: str | None) -> list[Location]:
+def _locations_of_upstream(file: str, nginx: NginxConfiguration, upstream: str | None) -> list[Location]:
     upstream_locations = [location for location in nginx.locations if location.upstream in nginx.upstreams]
     first_upstream = upstream_locations[0].upstream if upstream_locations else ""
     if upstream is None:
@@ -61,7 +61,7 @@
     selected_upstream = upstream or first_upstream
     locations = [location for location in upstream_locations if location.upstream == selected_upstream]
     if not locations:
-        raise MappingError(UnusedUpstream("", 0, selected_upstream))
+        raise MappingError(UnusedUpstream(file, 0, selected_upstream))
     return locations
 
 
--- a/aspensaddle/importer/problems.py
+++ b/aspensaddle/importer/problems.py
@@ -77,14 +77,18 @@
 
 @dataclass(frozen=True, slots=True)
 class UnusedUpstream(Problem):
-    """A selected upstream to which no location passes."""
+    """A selected upstream to which no location passes; without a name, no location passes to any."""
 
     upstream: str
 
     @property
     def text(self) -> str:
         """Return the name of the upstream in a sentence."""
-        return f"no location passes to upstream {self.upstream!r}"
+        return (
+            f"no location passes to upstream {self.upstream!r}"
+            if self.upstream
+            else "no location passes to an upstream"
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_importer.py
+++ b/tests/test_importer.py
@@ -125,6 +125,12 @@
     assert not problems and [endpoint["uid"] for endpoint in configuration["known"]["targets"]] == ["127.0.0.1:9009"]
 
 
+@pytest.mark.parametrize(("upstream", "text"), [(None, "to an upstream"), ("gone", "to upstream 'gone'")])
+def test_file_without_a_location_of_the_upstream_is_named(tmp_path, upstream, text):
+    path = write_file(tmp_path, "events {}\nhttp { upstream backend { server 127.0.0.1:9001; } }\n")
+    assert [str(problem) for problem in convert(path, upstream)[1]] == [f"{path}:0: no location passes {text}"]
+
+
 @settings(suppress_health_check=[HealthCheck.function_scoped_fixture])
 @given(st.integers(0, len(VALID_CONFIGURATION)), st.integers(0, 30), st.text(max_size=8))
 @hypothesis.seed(0x6E5A97585B5E0BAC220BEE08E0EFEA713495BC47F7255764EC3BDBEDEF810C2F53AE4C9DA18C507F000FB5F295FB19D7)
