Importer: a comment between the arguments of a directive is ignored

Cause: the parser gives such a comment as a directive "#" without a file, and the importer refused it: "#: can't be imported", as a problem of no file.

Change: these are left out.

--- a/aspensaddle/importer/directives.py
+++ b/aspensaddle/importer/directives.py
@@ -11,6 +11,8 @@
 from aspensaddle.importer.problems import FileProblem, Problem
 from aspensaddle.support.json_fields import Message
 
+COMMENT = "#"  # the parser's name of a comment between the arguments of a directive
+
 
 @dataclass(frozen=True, slots=True)
 class Directive:
@@ -27,7 +29,7 @@
     """Return the directives of a file and of the files that it includes, and the problems that the parser found."""
     payload: dict[str, Any] = crossplane.parse(path, combine=True, check_ctx=False, check_args=False)
     problems: list[Problem] = [_syntax_problem(error) for error in payload["errors"]]
-    directives = [_to_directive(parsed) for config in payload["config"] for parsed in config["parsed"]]
+    directives = [directive for config in payload["config"] for directive in _to_directives(config["parsed"])]
     return directives, problems
 
 
@@ -36,6 +38,10 @@
     return FileProblem(error["file"], error.get("line") or 0, reason)
 
 
+def _to_directives(block: list[Message]) -> tuple[Directive, ...]:
+    return tuple(_to_directive(parsed) for parsed in block if parsed["directive"] != COMMENT)
+
+
 def _to_directive(parsed: Message) -> Directive:
     block = parsed.get("block")
     return Directive(
@@ -43,5 +49,5 @@
         line=int(parsed.get("line") or 0),
         name=parsed["directive"],
         arguments=tuple(parsed["args"]),
-        block=None if block is None else tuple(_to_directive(inner) for inner in block),
+        block=None if block is None else _to_directives(block),
     )
--- a/tests/test_importer.py
+++ b/tests/test_importer.py
@@ -131,6 +131,12 @@
     assert [str(problem) for problem in convert(path, upstream)[1]] == [f"{path}:0: no location passes {text}"]
 
 
+def test_comment_between_arguments_is_ignored(tmp_path):
+    text = VALID_CONFIGURATION.replace("127.0.0.1:9001 weight=3;", "127.0.0.1:9001 # the large one\n weight=3;")
+    configuration, problems = convert(write_file(tmp_path, text))
+    assert not problems and configuration == convert(write_file(tmp_path, VALID_CONFIGURATION))[0]
+
+
 @settings(suppress_health_check=[HealthCheck.function_scoped_fixture])
 @given(st.integers(0, len(VALID_CONFIGURATION)), st.integers(0, 30), st.text(max_size=8))
 @hypothesis.seed(0x6E5A97585B5E0BAC220BEE08E0EFEA713495BC47F7255764EC3BDBEDEF810C2F53AE4C9DA18C507F000FB5F295FB19D7)
