Importer: a problem of the parser without a text says that the file ends early

Cause: where a file ends within a directive or a quoted text, the parser's error is empty, and so was the problem.

Change: the text is "the file ends within a directive".

--- a/aspensaddle/importer/directives.py
+++ b/aspensaddle/importer/directives.py
@@ -12,6 +12,7 @@
 from aspensaddle.support.json_fields import Message
 
 COMMENT = "#"  # the parser's name of a comment between the arguments of a directive
+UNEXPECTED_END = "the file ends within a directive"  # of this the parser gives no text
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +36,7 @@
 
 def _syntax_problem(error: Message) -> Problem:
     reason = re.sub(r" in \S+:\d+$", "", str(error["error"]))  # the problem has fields for file and line
-    return FileProblem(error["file"], error.get("line") or 0, reason)
+    return FileProblem(error["file"], error.get("line") or 0, reason or UNEXPECTED_END)
 
 
 def _to_directives(block: list[Message]) -> tuple[Directive, ...]:
--- a/tests/test_importer.py
+++ b/tests/test_importer.py
@@ -137,6 +137,15 @@
     assert not problems and configuration == convert(write_file(tmp_path, VALID_CONFIGURATION))[0]
 
 
+def test_every_problem_after_an_insertion_has_a_file_and_a_text(tmp_path):
+    """Guards against problems of the parser without a text, and of directives that the parser adds."""
+    for position in range(len(VALID_CONFIGURATION) + 1):
+        for inserted in '0;{}#"':
+            text = VALID_CONFIGURATION[:position] + inserted + VALID_CONFIGURATION[position:]
+            path = write_file(tmp_path, text)
+            assert all(problem.file == path and problem.text for problem in convert(path)[1]), text
+
+
 @settings(suppress_health_check=[HealthCheck.function_scoped_fixture])
 @given(st.integers(0, len(VALID_CONFIGURATION)), st.integers(0, 30), st.text(max_size=8))
 @hypothesis.seed(0x6E5A97585B5E0BAC220BEE08E0EFEA713495BC47F7255764EC3BDBEDEF810C2F53AE4C9DA18C507F000FB5F295FB19D7)
