Adoption: a reconnecting client is not evicted for clients that sent nothing

Cause: such a client counted as a waiting one that had sent nothing, so silent clients that used up the descriptors took its place once those older than its pause were gone.

Change: reconnecting is a stage of its own. The eviction takes from the stage that holds more connections, so silent clients cannot push out a reconnecting one, nor adoptions of a dead server new clients.

The live test failed before with "b'BUSY 450\r\n' == b'UP s-0\r\n'".

--- a/aspensaddle/frontends/line_protocol/connection_adopter.py
+++ b/aspensaddle/frontends/line_protocol/connection_adopter.py
@@ -183,7 +183,7 @@
 
     async def _pause(self, adoption: _Adoption, seconds: float) -> None:
         """Wait between two attempts, without a claim to descriptors; a shutdown or an eviction ends the wait."""
-        with adoption.state.renew_attempt_scope(), self._frontend.slots.wait_again(adoption.slot):
+        with adoption.state.renew_attempt_scope(), self._frontend.slots.reconnect(adoption.slot):
             await trio.sleep_until(min(trio.current_time() + seconds, adoption.deadline))
 
     def _response(self, adoption: _Adoption) -> bytes:
--- a/aspensaddle/frontends/line_protocol/connection_slots.py
+++ b/aspensaddle/frontends/line_protocol/connection_slots.py
@@ -1,13 +1,14 @@
 """The file descriptors of client connections, by the stage of each connection.
 
-A connection is in one of three stages. It waits for its first line; it is active from a valid OPEN to the last byte
-of its response or of its relayed connection; or it lingers: its response is sent, sending has ended, and the process
-reads until the client ends its sending too. Only a connection's own task writes to it or closes it.
-
-While descriptors are free, every connection keeps its own. When they run out, waiting connections that have sent
-nothing are evicted through a cancel scope, the oldest first. Any number of silent clients therefore cannot keep out a
-client with a request. An active connection is never evicted. See `docs/shutdown.md` for the stages and
-`docs/descriptors.md` for the descriptor budget.
+A connection is in one of four stages. It waits for its first line; it is active from a valid OPEN to the last byte of
+its response or of its relayed connection; it is reconnecting while it is to be adopted and has no connection to its
+server; or it lingers: its response is sent, sending has ended, and the process reads until the client ends its own.
+Only a connection's own task writes to it or closes it.
+
+While descriptors are free, every connection keeps its own. When they run out, waiting or reconnecting connections are
+evicted through a cancel scope, whichever are more; of the waiting ones the oldest that has sent nothing goes first.
+Any number of silent clients therefore cannot keep out a client with a request. An active connection is never evicted.
+See `docs/shutdown.md` for the stages and `docs/descriptors.md` for the descriptor budget.
 """
 
 from __future__ import annotations
@@ -37,10 +38,15 @@
     """Stage of a client's connection."""
 
     WAITING = "waiting"
+    RECONNECTING = "reconnecting"
     ACTIVE = "active"
     LINGERING = "lingering"
 
 
+# Where the two hold as many connections, one that waits for its first line is evicted.
+EVICTED_STAGES = (ConnectionStage.WAITING, ConnectionStage.RECONNECTING)
+
+
 class ConnectionSlot:
     """The descriptor of one client connection.
 
@@ -49,7 +55,7 @@
         stage: Stage of the connection.
         first_line_scope: Limits the wait for the first line.
         linger_scope: Limits the lingering close.
-        evicted: Whether the connection was evicted before its first line arrived.
+        evicted: Whether the connection was evicted before its first line arrived or while it was reconnecting.
         readmitted: Whether an eviction was revoked because bytes had arrived.
         has_request: Whether its OPEN was valid and was accepted.
     """
@@ -77,7 +83,7 @@
 
     Attributes:
         max_active: Limit of active connections; a request beyond it is rejected.
-        max_waiting: Descriptors that active and lingering connections always leave to waiting ones.
+        max_waiting: Descriptors that active and lingering connections always leave to the others.
         max_lingering: Limit of lingering connections.
         starting: Accepted connections that hold no slot yet.
     """
@@ -162,10 +168,10 @@
         self._enter(slot, ConnectionStage.ACTIVE)
         self._make_room()
 
-    def wait_again(self, slot: ConnectionSlot) -> trio.CancelScope:
-        """Make a connection wait without a server; return the scope that is cancelled if it is evicted meanwhile."""
-        if slot.stage is not ConnectionStage.WAITING:
-            self._enter(slot, ConnectionStage.WAITING)
+    def reconnect(self, slot: ConnectionSlot) -> trio.CancelScope:
+        """Make a connection wait for its server; return the scope that is cancelled if it is evicted meanwhile."""
+        if slot.stage is not ConnectionStage.RECONNECTING:
+            self._enter(slot, ConnectionStage.RECONNECTING)
         slot.first_line_scope = trio.CancelScope()
         if slot.evicted:
             slot.first_line_scope.cancel()
@@ -220,21 +226,34 @@
             self._closing.add(slot)
 
     def evict_oldest(self) -> bool:
-        """Evict the oldest silent waiting connection, else the oldest waiting one; return False if there is none."""
-        slot = next((slot for slot in self._waiting() if slot.is_silent), None) or next(self._waiting(), None)
-        if slot is None:
-            return False
-        self._evict(slot)
-        return True
+        """Evict the oldest waiting or reconnecting connection, of those that are more; return False if there is none.
 
-    def _waiting(self) -> Iterator[ConnectionSlot]:
-        return (slot for slot in self._stages[ConnectionStage.WAITING] if not slot.evicted)
+        Of waiting connections a silent one goes first.
+        """
+        for stage in sorted(EVICTED_STAGES, key=self.count, reverse=True):
+            slot = self._oldest_of(stage)
+            if slot is not None:
+                self._evict(slot)
+                return True
+        return False
+
+    def _oldest_of(self, stage: ConnectionStage) -> ConnectionSlot | None:
+        """Return the oldest silent connection of a stage, else the oldest, or None if there is none to evict."""
+        oldest = None
+        for slot in self._stages[stage]:
+            if slot.evicted:
+                continue
+            if slot.is_silent:
+                return slot
+            oldest = oldest or slot
+        return oldest
 
     def evict_all_waiting(self) -> None:
-        """Evict all waiting connections and all accepted from now on, for the shutdown."""
+        """Evict all waiting and reconnecting connections and all accepted from now on, for the shutdown."""
         self._evicts_new = True
-        for slot in list(self._stages[ConnectionStage.WAITING]):
-            self._evict(slot)
+        for stage in EVICTED_STAGES:
+            for slot in list(self._stages[stage]):
+                self._evict(slot)
 
     def _abort_evicted_lingering(self) -> bool:
         """Close the oldest lingering connection that was evicted; return False if there is none."""
--- a/tests/test_connection_slots.py
+++ b/tests/test_connection_slots.py
@@ -210,6 +210,32 @@
     trio.run(main)
 
 
+def test_reconnecting_connections_are_evicted_only_while_they_are_more_than_the_waiting_ones():
+    """Guards against silent clients that push out a connection to adopt, and against adoptions that push out others."""
+
+    async def main():
+        slots = ConnectionSlots(Counters(), 128)
+        with ExitStack() as stack:
+            reconnecting = [stack.enter_context(slots.hold(None)) for _ in range(40)]
+            for slot in reconnecting:
+                slots.reconnect(slot)
+            waiting = [stack.enter_context(slots.hold(None)) for _ in range(30)]
+            for _ in range(10):
+                assert slots.evict_oldest()
+            assert [slot.evicted for slot in reconnecting] == [True] * 10 + [False] * 30
+            assert not any(slot.evicted for slot in waiting)
+            for slot in reconnecting[:10]:
+                slots.linger(slot)
+            waiting += [stack.enter_context(slots.hold(None)) for _ in range(100)]
+            assert not any(slot.evicted for slot in reconnecting[10:])
+            # 98 of 128 descriptors are for clients, and the ten that linger are closed first.
+            assert sum(slot.evicted for slot in waiting) == 40 + 130 - 10 - 98
+            slots.evict_all_waiting()
+            assert all(slot.evicted for slot in (*reconnecting, *waiting))
+
+    trio.run(main)
+
+
 def test_no_connection_is_evicted_while_descriptors_are_free():
     """Guards against evictions beyond a fixed share while descriptors for active connections are unused."""
 
@@ -381,6 +407,21 @@
     )
 
 
+def test_connection_to_adopt_is_kept_among_silent_clients_while_its_server_rejects_it(deploy_with_one_server):
+    """Guards against the eviction of a reconnecting client, between two attempts, for clients that sent nothing."""
+    deployment = deploy_with_one_server(limits={"sockets": 128})
+    deployment.server.response = b"BUSY\r\n"
+    with deployment.client() as client:
+        client.send(b"OPEN 1 k c=test-run,d=3000,at=s-0\r\n")
+        wait_until(lambda: deployment.server.first_lines, "the first attempt")
+        silent_clients = [deployment.client() for _ in range(300)]
+        deployment.server.response = b"UP s-0\r\n"
+        assert client.read_line() == b"UP s-0\r\n"
+        for silent in silent_clients:
+            silent.close()
+    assert deployment.balancer.counts()["connections_evicted"] >= 200
+
+
 @pytest.mark.parametrize(
     "line",
     [
