--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -36,6 +36,19 @@
 MAX_SERVERS_PER_SEARCH = 40  # a request in a large fleet examines about a hundredth of the servers at most
 
 
+def record_calls(monkeypatch: Any, owner: type, method: str) -> list[tuple[Any, ...]]:
+    """Record the arguments of each call of a method, without `self`, in the list that is returned."""
+    calls: list[tuple[Any, ...]] = []
+    original = getattr(owner, method)
+
+    def recorded(self: Any, *arguments: Any) -> Any:
+        calls.append(arguments)
+        return original(self, *arguments)
+
+    monkeypatch.setattr(owner, method, recorded)
+    return calls
+
+
 def make_endpoint(server: int, **fields: Any) -> Endpoint:
     return Endpoint(server, **fields)
 
--- a/tests/test_crowded_discovery.py
+++ b/tests/test_crowded_discovery.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 import trio.testing
-from helpers import LARGE_FLEET, MAX_SERVERS_PER_SEARCH, SETTINGS, BalancerHarness, make_endpoint
+from helpers import LARGE_FLEET, MAX_SERVERS_PER_SEARCH, SETTINGS, BalancerHarness, make_endpoint, record_calls
 from test_discovery_freshness import HEAD, RecordingDriver, endpoint_list, http_chunk
 
 from aspensaddle.core.actions import Reject, RejectReason, StartAttempt
@@ -266,14 +266,7 @@
     harness.now += 7.0
     accepting = {harness.place().server for _ in range(confirmed)}
     harness.now += 1.0
-    examined = []
-    is_confirmed = EndpointConfirmation.is_confirmed
-
-    def count(self, now, server, drain_grace):
-        examined.append(server.id)
-        return is_confirmed(self, now, server, drain_grace)
-
-    monkeypatch.setattr(EndpointConfirmation, "is_confirmed", count)
+    examined = record_calls(monkeypatch, EndpointConfirmation, "is_confirmed")
     for _ in range(20):
         examined.clear()
         (action,) = harness.submit_request(session_group=group)
--- a/tests/test_slow_start_limit.py
+++ b/tests/test_slow_start_limit.py
@@ -6,7 +6,7 @@
 from random import Random
 
 import pytest
-from helpers import LARGE_FLEET, MAX_SERVERS_PER_SEARCH, SETTINGS, BalancerHarness, make_endpoint
+from helpers import LARGE_FLEET, MAX_SERVERS_PER_SEARCH, SETTINGS, BalancerHarness, make_endpoint, record_calls
 
 from aspensaddle.core.actions import Reject, RejectReason, StartAttempt
 from aspensaddle.core.events import Request
@@ -66,14 +66,7 @@
     settings = replace(SETTINGS, balancer_count=200, session_groups=True)
     endpoints = [make_endpoint(number, weight=2.0, started_at=999.0) for number in range(LARGE_FLEET)]
     harness = BalancerHarness(endpoints, settings)
-    examined = []
-    exceeds_limit = SlowStart.exceeds_limit
-
-    def count(self, now, request, server):
-        examined.append(server.id)
-        return exceeds_limit(self, now, request, server)
-
-    monkeypatch.setattr(SlowStart, "exceeds_limit", count)
+    examined = record_calls(monkeypatch, SlowStart, "exceeds_limit")
     rejected = 0
     for _ in range(30):
         examined.clear()
