Slow start: a safety factor on the shares of other groups at a warming server

Cause: with the shares of all groups that prefer a server counted once, the mean of what it is sent is the limit itself.

Change: the shares of the other groups count one and a half times. One group alone is limited as before.

Tests of slow start, affinity, balancer and server selection pass.

--- a/aspensaddle/core/slow_start.py
+++ b/aspensaddle/core/slow_start.py
@@ -14,6 +14,7 @@
 # Safety factor on the estimated part of all requests that would go to one server: the shares of session groups are
 # estimated from few requests.
 OFFERED_FRACTION_SAFETY_FACTOR = 3.0
+OTHER_GROUPS_SAFETY_FACTOR = 1.5  # the same for the shares of other groups that prefer the server
 PRIOR_REQUESTS_OF_OTHER_GROUPS = 2  # assumed besides those counted, which damps shares of few requests
 MIN_REQUESTS_PER_OVERLOAD_WINDOW = 0.1  # always allowed, counted as requests of mean load
 MIN_ALLOWED_LOAD_RATE = 1e-9  # avoids a division by zero
@@ -89,19 +90,25 @@
         share_of_groups = state.session_groups.request_share_of_server(
             server, state.servers.values(), state.ready_count, PRIOR_REQUESTS_OF_OTHER_GROUPS
         )
-        return max(least, share_of_groups + self._even_fraction())
+        share_of_others = max(0.0, share_of_groups - self._share_of_own_group(request))
+        return least + OTHER_GROUPS_SAFETY_FACTOR * share_of_others
 
     def _least_offered_fraction(self, request: RequestState) -> float:
         """Return a lower bound of `_offered_fraction` for any server, which takes no search."""
         state = self._state
-        group = request.request.session_group
         if request.preferred_server_count:
-            group_share = state.session_groups.request_share(group, PRIOR_REQUESTS_OF_OTHER_GROUPS)
-            return group_share / request.preferred_server_count + self._even_fraction()
+            return self._share_of_own_group(request) + self._even_fraction()
         # Empty servers are chosen first, and at most `len(state.requests)` servers are not empty.
         ready_per_empty_server = state.ready_count / max(1, state.ready_count - len(state.requests))
         even_fraction = min(ready_per_empty_server / max(1, state.ready_count), 1 / max(1, state.warming_up_count))
-        return OFFERED_FRACTION_SAFETY_FACTOR * max(even_fraction, state.session_groups.request_share(group, 0))
+        group_share = state.session_groups.request_share(request.request.session_group, 0)
+        return OFFERED_FRACTION_SAFETY_FACTOR * max(even_fraction, group_share)
+
+    def _share_of_own_group(self, request: RequestState) -> float:
+        """Return the part of all requests that the request's own group sends to each server that it prefers."""
+        group = request.request.session_group
+        group_share = self._state.session_groups.request_share(group, PRIOR_REQUESTS_OF_OTHER_GROUPS)
+        return group_share / request.preferred_server_count
 
     def _even_fraction(self) -> float:
         return 1 / max(1, self._state.ready_count)
